--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/egretlift/settings.py
@@ -0,0 +1,311 @@
+"""Settings of the daemon, read from flags and environment variables.
+
+Every setting is one row of ``ROWS``. The flag is ``--name`` and the environment
+variable is ``EGRETLIFT_NAME`` in upper case with underscores; a flag takes
+precedence over the variable.
+"""
+
+import argparse
+import ipaddress
+
+from egretlift.errors import SettingError
+
+
+def read_text(text):
+    """Return the text if it is not empty."""
+    if not text:
+        raise ValueError("give a non-empty value")
+    return text
+
+
+def read_name(text):
+    """Return a name made of letters, digits, ``-``, ``_`` and ``.``."""
+    if not text or not all(c.isalnum() or c in "-_." for c in text):
+        raise ValueError("give a name of letters, digits, '-', '_' and '.'")
+    return text
+
+
+def read_address(text):
+    """Return an IP address as text."""
+    try:
+        return str(ipaddress.ip_address(text))
+    except ValueError:
+        raise ValueError("give an IPv4 or IPv6 address, not a host name") from None
+
+
+def read_port(text):
+    """Return a TCP port."""
+    if not text.isdigit() or not 1 <= int(text) <= 65535:
+        raise ValueError("give a port from 1 to 65535")
+    return int(text)
+
+
+def read_secret(text):
+    """Return a secret of at least 16 bytes."""
+    if len(text.encode()) < 16:
+        raise ValueError("give a secret of at least 16 bytes, the same on all hosts")
+    return text
+
+
+def read_url(text):
+    """Return an HTTP URL without a trailing slash."""
+    if not text.startswith(("http://", "https://")):
+        raise ValueError("give a URL that starts with http:// or https://")
+    return text.rstrip("/")
+
+
+def read_endpoints(text):
+    """Return a tuple of (address, port) from ``address:port,address:port``."""
+    endpoints = []
+    for part in filter(None, text.split(",")):
+        address, separator, port = part.rpartition(":")
+        if not separator:
+            raise ValueError("give a comma-separated list of address:port")
+        endpoints.append((read_address(address.strip("[]")), read_port(port)))
+    return tuple(endpoints)
+
+
+def read_positive(text):
+    """Return a number greater than zero."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = 0.0
+    if not 0 < value < float("inf"):
+        raise ValueError("give a number greater than 0")
+    return value
+
+
+def read_fraction(text):
+    """Return a number from 0 to 1."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value <= 1:
+        raise ValueError("give a number from 0 to 1")
+    return value
+
+
+def read_count(text):
+    """Return a whole number greater than zero."""
+    if not text.isdigit() or int(text) < 1:
+        raise ValueError("give a whole number greater than 0")
+    return int(text)
+
+
+def read_choice(*choices):
+    """Return a reader that accepts only the given words."""
+
+    def read(text):
+        if text not in choices:
+            raise ValueError(f"give one of {', '.join(choices)}")
+        return text
+
+    return read
+
+
+# Name, reader, default text (None if required) and help of each setting.
+ROWS = (
+    ("host", read_name, None, "name of this host, unique in the mesh"),
+    ("zone", read_name, None, "availability zone of this host"),
+    ("address", read_address, "127.0.0.1", "IP address that other hosts reach"),
+    ("caller-port", read_port, "7400", "port for callers"),
+    ("upstream-port", read_port, "7401", "loopback port for the host's upstream"),
+    ("peer-port", read_port, "7402", "port for calls from other daemons"),
+    ("control-port", read_port, "7403", "port for control messages of daemons"),
+    ("operators-port", read_port, "7404", "port for operators and metrics"),
+    ("platform-url", read_url, None, "URL of the platform's object API"),
+    ("mesh-secret", read_secret, None, "secret shared by all daemons"),
+    ("seeds", read_endpoints, "", "control endpoints address:port of first peers"),
+    # Membership and configuration.
+    ("gossip-period-s", read_positive, "1", "seconds between gossip exchanges"),
+    ("gossip-timeout-s", read_positive, "0.5", "time limit of one exchange"),
+    ("gossip-fanout", read_count, "3", "members told at once of a change"),
+    ("suspect-period-s", read_positive, "5", "seconds from suspect to dead"),
+    ("member-retention-s", read_positive, "600", "seconds a dead member is kept"),
+    ("announcement-lease-s", read_positive, "3", "lease of an announcement"),
+    ("platform-timeout-s", read_positive, "2", "time limit of a platform call"),
+    ("watch-timeout-s", read_positive, "20", "time limit of one watch"),
+    # Rate allocation.
+    ("zone-lease-s", read_positive, "10", "lifetime of the zone lease"),
+    ("zone-lease-renewal-s", read_positive, "3", "seconds between its renewals"),
+    ("zone-standbys", read_count, "4", "standbys named in the zone lease"),
+    ("zone-autonomy-s", read_positive, "7200", "longest time without renewal"),
+    ("share-lease-s", read_positive, "2", "lifetime of a host's rate share"),
+    ("share-renewal-s", read_positive, "0.5", "seconds between share renewals"),
+    ("share-request-gap-s", read_positive, "0.05", "shortest gap of requests"),
+    ("clock-drift", read_fraction, "0.01", "largest difference of clock rates"),
+    ("share-wait-s", read_positive, "0.3", "longest wait for a rate token"),
+    # Admission.
+    (
+        "admission-policy",
+        read_choice("adaptive", "fixed", "none"),
+        "adaptive",
+        "how the concurrency limit is found",
+    ),
+    ("limit-initial", read_count, "20", "concurrency limit at the start"),
+    ("limit-minimum", read_count, "4", "smallest concurrency limit"),
+    ("limit-maximum", read_count, "400", "largest concurrency limit"),
+    ("queue-length", read_count, "200", "longest admission queue in calls"),
+    ("critical-reserve", read_fraction, "0.2", "part kept for critical calls"),
+    ("critical-memory-s", read_positive, "10", "time the reserve outlives use"),
+    ("background-share", read_fraction, "0.1", "smallest share of uploads"),
+    ("throttle-window-s", read_positive, "2", "memory of the entry throttle"),
+    ("throttle-ratio", read_positive, "1.1", "sent per accepted call allowed"),
+    # Retries and routing.
+    (
+        "retry-policy",
+        read_choice("budget", "fixed", "none"),
+        "budget",
+        "how retries are paid for",
+    ),
+    ("retry-ratio", read_fraction, "0.1", "retries per first attempt"),
+    ("retry-burst", read_positive, "10", "largest stock of the retry budget"),
+    ("fixed-tries", read_count, "3", "tries per hop of the fixed policy"),
+    ("refused-tries", read_count, "2", "further hosts after a refusal"),
+    ("critical-refused-tries", read_count, "4", "the same for critical calls"),
+    ("ejection-s", read_positive, "1", "time without calls to a failed host"),
+    ("connect-timeout-s", read_positive, "0.25", "time limit of a connection"),
+    ("forward-connections", read_count, "400", "connections per target"),
+    # Callers.
+    ("header-timeout-s", read_positive, "10", "time limit of request headers"),
+    ("body-gap-s", read_positive, "10", "longest pause within a body"),
+    ("drain-limit-s", read_positive, "600", "time limit of a graceful stop"),
+    # At most once.
+    ("ledger-records", read_count, "20000", "identifiers kept in memory"),
+    ("ledger-answer-bytes", read_count, "65536", "largest answer kept"),
+    ("ledger-total-bytes", read_count, "4000000", "memory of kept answers"),
+    ("identifier-lifetime-s", read_positive, "86400", "life of an identifier"),
+)
+
+
+class Settings:
+    """Checked settings of one daemon.
+
+    Parameters
+    ----------
+    values : dict of str to object
+        Value of each row of ``ROWS``, with underscores in the names. Missing
+        rows take their defaults; required rows may be missing in tests and are
+        then None.
+
+    Examples
+    --------
+    >>> Settings({"zone": "ie-east-a"}).gossip_period_s
+    1.0
+    """
+
+    __slots__ = tuple(row[0].replace("-", "_") for row in ROWS)
+
+    def __init__(self, values=None):
+        values = dict(values or {})
+        for name, read, default, _ in ROWS:
+            attribute = name.replace("-", "_")
+            fallback = None if default is None else read(default)
+            setattr(self, attribute, values.pop(attribute, fallback))
+        if values:
+            raise SettingError(
+                f"unknown settings {', '.join(sorted(values))}",
+                "see egretliftd --help for the names",
+            )
+
+
+def name_variable(name):
+    """Return the environment variable of a setting.
+
+    Examples
+    --------
+    >>> name_variable("caller-port")
+    'EGRETLIFT_CALLER_PORT'
+    """
+    return "EGRETLIFT_" + name.upper().replace("-", "_")
+
+
+def describe_settings():
+    """Yield (flag, variable, default, help) of each setting, for documentation."""
+    for name, _, default, text in ROWS:
+        yield f"--{name}", name_variable(name), default, text
+
+
+def make_parser():
+    """Return the command-line parser of ``egretliftd``."""
+    parser = argparse.ArgumentParser(
+        prog="egretliftd", description="Daemon of egretlift, one per upstream host."
+    )
+    for flag, variable, default, text in describe_settings():
+        shown = "required" if default is None else f"default {default or 'none'}"
+        parser.add_argument(flag, help=f"{text} [{variable}; {shown}]")
+    return parser
+
+
+def parse_settings(arguments, environment):
+    """Return checked settings from flags and environment variables.
+
+    Parameters
+    ----------
+    arguments : list of str
+        Command-line arguments without the program name.
+    environment : mapping of str to str
+        Environment variables.
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    ExceptionGroup
+        One ``SettingError`` for each missing or invalid value.
+    """
+    flags = vars(make_parser().parse_args(arguments))
+    values, errors = {}, []
+    for name, read, default, _ in ROWS:
+        attribute = name.replace("-", "_")
+        variable = name_variable(name)
+        text = flags[attribute]
+        if text is None:
+            text = environment.get(variable, default)
+        if text is None:
+            errors.append(
+                SettingError(f"{name} is missing", f"set --{name} or {variable}")
+            )
+            continue
+        try:
+            values[attribute] = read(text)
+        except ValueError as error:
+            shown = "not shown" if name == "mesh-secret" else repr(text)
+            errors.append(SettingError(f"{name} is {shown}", str(error)))
+    errors.extend(check_relations(values))
+    if errors:
+        raise ExceptionGroup("settings are invalid", errors)
+    return Settings(values)
+
+
+# Pairs of settings of which the first must be smaller than the second.
+SMALLER_THAN = (
+    ("gossip_timeout_s", "suspect_period_s"),
+    ("zone_lease_renewal_s", "zone_lease_s"),
+    ("zone_lease_s", "zone_autonomy_s"),
+    ("share_renewal_s", "share_lease_s"),
+    ("limit_minimum", "limit_maximum"),
+)
+
+
+def check_relations(values):
+    """Return the errors of settings that contradict each other."""
+    errors = []
+    for smaller, larger in SMALLER_THAN:
+        if smaller in values and larger in values:
+            if values[smaller] < values[larger]:
+                continue
+            small, large = smaller.replace("_", "-"), larger.replace("_", "-")
+            errors.append(
+                SettingError(f"{small} is not smaller than {large}", f"lower {small}")
+            )
+    ports = [values[name] for name in values if name.endswith("_port")]
+    if len(set(ports)) < len(ports):
+        errors.append(
+            SettingError("two ports are equal", "give each port its own number")
+        )
+    return errors
--- /dev/null
+++ b/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests with real processes, and the CI entry point."""
--- /dev/null
+++ b/integration/ci.py
@@ -0,0 +1,94 @@
+"""Run the formatter, the linter, the doctests and every test, for CI.
+
+Tests listed in KNOWN-RED.txt are run and printed, but do not count as failed.
+An entry names its test on a line that starts with ``test:``.
+"""
+
+import doctest
+import importlib
+import pkgutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from xml.etree import ElementTree
+
+import egretlift
+
+ROOT = Path(__file__).resolve().parent.parent
+JUNIT_FLAGS = (
+    "--plugin=nose2.plugins.junitxml",
+    "--junit-xml",
+    "--junit-xml-path",
+)
+CHECKS = (("format", ["format", "--check", "."]), ("lint", ["check", "."]))
+
+
+def read_known_red():
+    """Return the names of the tests listed in KNOWN-RED.txt."""
+    text = (ROOT / "KNOWN-RED.txt").read_text()
+    lines = (line.strip() for line in text.splitlines())
+    return {line[5:].strip() for line in lines if line.startswith("test:")}
+
+
+def run_checks():
+    """Return a dict of check name to whether it passed."""
+    results = {}
+    for name, arguments in CHECKS:
+        command = [sys.executable, "-m", "ruff", *arguments]
+        results[f"ruff {name}"] = subprocess.run(command, cwd=ROOT).returncode == 0
+    return results
+
+
+def run_doctests():
+    """Return a dict of module name to whether its doctests passed."""
+    results = {}
+    for info in pkgutil.walk_packages(egretlift.__path__, "egretlift."):
+        if ".tests" in info.name or ".generated" in info.name:
+            continue
+        if info.name.endswith("__main__"):
+            continue
+        outcome = doctest.testmod(importlib.import_module(info.name))
+        if outcome.attempted:
+            results[f"doctest {info.name}"] = outcome.failed == 0
+    return results
+
+
+def run_tests():
+    """Return a dict of test name to whether it passed."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.xml"
+        command = [sys.executable, "-m", "nose2", "-v", *JUNIT_FLAGS, str(report)]
+        status = subprocess.run(command, cwd=ROOT).returncode
+        if not report.exists():
+            return {"nose2": False}
+        cases = ElementTree.parse(report).getroot().iter("testcase")
+        results = {}
+        for case in cases:
+            name = f"{case.get('classname')}.{case.get('name')}"
+            bad = case.find("failure") is not None or case.find("error") is not None
+            results[name] = results.get(name, True) and not bad
+    if status and all(results.values()):
+        results["nose2"] = False
+    return results
+
+
+def main():
+    """Run everything and print the closing line."""
+    if sys.flags.optimize:
+        raise SystemExit("run without -O, since it removes assertions")
+    results = {**run_checks(), **run_doctests(), **run_tests()}
+    known_red = read_known_red()
+    failed = [name for name, passed in results.items() if not passed]
+    for name in failed:
+        print(f"{'KNOWN RED' if name in known_red else 'FAILED'} {name}")
+    for name in sorted(known_red - set(failed)):
+        print(f"KNOWN RED but passed: {name}")
+    counted = [name for name in failed if name not in known_red]
+    passed = sum(results.values())
+    print(f"{passed} passed, {len(counted)} failed", flush=True)
+    raise SystemExit(1 if counted or not passed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and measurements."""
