--- /dev/null
+++ b/egretlift/blackboard.py
@@ -0,0 +1,164 @@
+"""The blackboard: all state of one daemon, read and written by its controllers.
+
+One event loop on one thread uses the blackboard, so no field needs a lock.
+"""
+
+import random
+
+import anyio
+
+from egretlift.admission import AdmissionState, ThrottleState
+from egretlift.configuration import Catalog
+from egretlift.events import EventRing
+from egretlift.idempotency import Ledger
+from egretlift.membership import Member, MemberTable
+from egretlift.retries import RetryBudget
+from egretlift.routing import HostRecords
+
+
+class Upstream:
+    """What the daemon knows of the upstream on its host.
+
+    Attributes
+    ----------
+    status : str
+        ``absent``, ``serving``, ``draining`` or ``left``.
+    expires_at : float
+        End of the announcement's lease, monotonic seconds.
+    """
+
+    __slots__ = ("address", "expires_at", "port", "routes", "service", "status")
+
+    def __init__(self):
+        self.service = ""
+        self.address = "127.0.0.1"
+        self.port = 0
+        self.routes = []
+        self.status = "absent"
+        self.expires_at = 0.0
+
+
+class Counters:
+    """Counts for metrics, by name and label values."""
+
+    __slots__ = ("values",)
+
+    def __init__(self):
+        self.values = {}
+
+
+def count(board, name, label="", amount=1):
+    """Add to a counter of the blackboard."""
+    values = board.counters.values
+    key = (name, label)
+    values[key] = values.get(key, 0) + amount
+
+
+class Blackboard:
+    """State of one daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+    incarnation : int
+        Start time in milliseconds; a restarted daemon has a higher one.
+
+    Attributes
+    ----------
+    calls : dict of str to Call
+        Calls that this host's upstream is running, by call token.
+    shares : dict of str to Share
+        Rate shares of this host by organisation.
+    allocators : dict of str to Allocator
+        Allocators by organisation while this host holds its zone's lease.
+    stopping : bool
+        Whether a graceful stop has begun.
+    """
+
+    __slots__ = (
+        "admission",
+        "allocators",
+        "budget",
+        "calls",
+        "catalog",
+        "channels",
+        "claims_in_flight",
+        "counters",
+        "events",
+        "host_records",
+        "identifier_sequence",
+        "incarnation",
+        "kick_gossip",
+        "ledger",
+        "lease",
+        "me",
+        "members",
+        "open_requests",
+        "platform",
+        "platform_failed_at",
+        "platform_reached_at",
+        "random",
+        "reserved",
+        "sessions",
+        "settings",
+        "share_news",
+        "share_requested_at",
+        "shares",
+        "slots",
+        "stop",
+        "stopping",
+        "tasks",
+        "throttle",
+        "upstream",
+        "zone_shares",
+    )
+
+    def __init__(self, settings, incarnation):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.random = random.Random(f"{settings.host}/{incarnation}")
+        self.me = Member(
+            host=settings.host,
+            incarnation=incarnation,
+            version=1,
+            zone=settings.zone,
+            service="",
+            address=settings.address,
+            caller_port=settings.caller_port,
+            peer_port=settings.peer_port,
+            control_port=settings.control_port,
+            operators_port=settings.operators_port,
+            status="alive",
+            routes=[],
+        )
+        self.members = MemberTable()
+        self.catalog = Catalog()
+        self.admission = AdmissionState(settings)
+        self.throttle = ThrottleState()
+        self.budget = RetryBudget()
+        self.host_records = HostRecords()
+        self.ledger = Ledger()
+        self.events = EventRing(settings.host)
+        self.counters = Counters()
+        self.upstream = Upstream()
+        self.calls = {}
+        self.slots = {}
+        self.shares = {}
+        self.reserved = {}
+        self.share_news = {}
+        self.share_requested_at = {}
+        self.allocators = {}
+        self.zone_shares = {}
+        self.lease = None
+        self.claims_in_flight = 0
+        self.identifier_sequence = 0
+        self.channels = {}
+        self.sessions = {}
+        self.platform = None
+        self.platform_reached_at = None
+        self.platform_failed_at = None
+        self.open_requests = 0
+        self.stopping = False
+        self.stop = anyio.Event()
+        self.kick_gossip = anyio.Event()
+        self.tasks = None
--- /dev/null
+++ b/egretlift/daemon/allocation.py
@@ -0,0 +1,132 @@
+"""Asking for, and answering requests for, shares of an organisation's rate."""
+
+import time
+
+import anyio
+
+from egretlift.blackboard import count
+from egretlift.daemon.zone import find_allocator, my_lease
+from egretlift.quotas import (
+    Allocation,
+    allocate,
+    apply_allocation,
+    current_demand,
+    may_hold,
+    request_due,
+    request_for,
+)
+from egretlift.transport.codec import (
+    pack_allocation,
+    pack_request,
+    unpack_allocation,
+    unpack_request,
+)
+from egretlift.transport.control import ControlFailed, call_control
+
+TICK_S = 0.02
+# A share without demand for this long is dropped from memory.
+IDLE_S = 60.0
+
+
+def allocate_request(board, request):
+    """Return the allocation for a request, if this host holds the zone lease."""
+    now = time.monotonic()
+    if may_hold(my_lease(board), board.settings, now):
+        allocator = find_allocator(board, request.organisation, now)
+        if allocator is not None:
+            return allocate(allocator, board.settings, now, request)
+    return Allocation(request, 0)
+
+
+async def allocate_here(board, message):
+    """Answer another host's request for a share."""
+    count(board, "control_bytes", "received", message.ByteSize())
+    reply = pack_allocation(allocate_request(board, unpack_request(message)))
+    count(board, "control_bytes", "sent", reply.ByteSize())
+    return reply
+
+
+async def ask_holder(board, share):
+    """Request a share from the holder of the zone lease and apply the answer."""
+    settings, lease = board.settings, my_lease(board).lease
+    sent_at = time.monotonic()
+    request = request_for(share, sent_at)
+    if lease.holder == settings.host:
+        allocation = allocate_request(board, request)
+    else:
+        allocation = await ask_member(board, lease.holder, request)
+    if allocation is None:
+        return
+    if apply_allocation(share, sent_at, time.monotonic(), allocation):
+        board.share_news[share.organisation].set()
+        board.share_news[share.organisation] = anyio.Event()
+
+
+async def ask_member(board, holder, request):
+    """Send a request to the holder and return its allocation, or None."""
+    settings = board.settings
+    member = board.members.members.get(holder)
+    if member is None:
+        return None
+    message = pack_request(request)
+    count(board, "control_bytes", "sent", message.ByteSize())
+    try:
+        reply = await call_control(
+            board.channels,
+            settings.mesh_secret,
+            (member.address, member.control_port),
+            "Allocate",
+            message,
+            settings.gossip_timeout_s,
+        )
+    except ControlFailed:
+        return None
+    count(board, "control_bytes", "received", reply.ByteSize())
+    return unpack_allocation(request, reply)
+
+
+async def keep_shares(board):
+    """Send the requests that are due for as long as the daemon runs."""
+    settings = board.settings
+    while True:
+        with anyio.move_on_after(TICK_S):
+            await board.share_wanted.wait()
+        board.share_wanted = anyio.Event()
+        now = time.monotonic()
+        for share in list(board.shares.values()):
+            if request_due(share, settings, now):
+                board.tasks.start_soon(ask_holder, board, share)
+        await anyio.sleep(0.002)
+
+
+def describe_shares(board):
+    """Return this host's shares for the state page."""
+    now = time.monotonic()
+    return [
+        {
+            "organisation": share.organisation,
+            "rate": share.bucket.rate,
+            "burst": share.bucket.burst,
+            "tokens": share.bucket.tokens,
+            "demand": current_demand(share, now),
+            "expires_in_s": share.expires_at - now,
+            "epoch": share.epoch,
+        }
+        for share in board.shares.values()
+    ]
+
+
+def describe_allocators(board):
+    """Return the allocators that this host runs for its zone."""
+    return [
+        {
+            "organisation": allocator.organisation,
+            "rate": allocator.rate,
+            "burst": allocator.burst,
+            "granted_rate": allocator.granted_rate,
+            "granted_burst": allocator.granted_burst,
+            "demand": allocator.demand,
+            "hosts": len(allocator.grants),
+        }
+        for allocator in board.allocators.values()
+    ]
--- /dev/null
+++ b/egretlift/daemon/announcements.py
@@ -0,0 +1,67 @@
+"""The announcement of this host's upstream and its lease."""
+
+import time
+
+import anyio
+
+from egretlift.events import record_event
+from egretlift.membership import parse_announcement
+
+
+def publish_self(board, status=None):
+    """Give the own member record a new version and spread it soon."""
+    me = board.me
+    me.version += 1
+    if status:
+        me.status = status
+    board.members.put_self(me)
+    board.kick_gossip.set()
+
+
+def accept_announcement(board, body):
+    """Take an announcement, renewing its lease.
+
+    Raises
+    ------
+    ExceptionGroup
+        One ``AnnouncementInvalid`` for each invalid value.
+    """
+    announcement = parse_announcement(body)
+    upstream = board.upstream
+    changed = (
+        upstream.status != "serving"
+        or upstream.service != announcement.service
+        or upstream.routes != announcement.routes
+        or (upstream.address, upstream.port)
+        != (announcement.address, announcement.port)
+    )
+    upstream.expires_at = time.monotonic() + board.settings.announcement_lease_s
+    if not changed:
+        return
+    upstream.service = announcement.service
+    upstream.address = announcement.address
+    upstream.port = announcement.port
+    upstream.routes = announcement.routes
+    upstream.status = "serving"
+    board.me.service = announcement.service
+    board.me.routes = announcement.routes
+    record_event("upstream-announced", service=upstream.service, port=upstream.port)
+    publish_self(board, "draining" if board.stopping else "alive")
+
+
+def leave_upstream(board, kind):
+    """Send the upstream no new work, after ``drain``, ``leave`` or a lapse."""
+    board.upstream.status = "left" if kind == "leave" else "draining"
+    record_event("upstream-leaving", kind=kind, service=board.upstream.service)
+    publish_self(board, "draining")
+
+
+async def expire_announcement(board):
+    """Stop new work when an announcement's lease lapses."""
+    while True:
+        await anyio.sleep(0.1)
+        upstream = board.upstream
+        if upstream.status == "serving" and time.monotonic() > upstream.expires_at:
+            upstream.status = "absent"
+            record_event("announcement-lapsed", service=upstream.service)
+            publish_self(board, "draining")
--- /dev/null
+++ b/egretlift/daemon/calls.py
@@ -0,0 +1,301 @@
+"""Carrying one call: choice of host, retries, and return of the answer.
+
+Examples
+--------
+The path of a caller's request::
+
+    receive (ports) -> run_call -> execute_here or forward_to -> deliver (ports)
+"""
+
+import secrets
+import time
+
+from egretlift.admission import parse_load, record_accepted, record_sent, should_refuse
+from egretlift.blackboard import count
+from egretlift.daemon.execution import execute_here
+from egretlift.identity import CallContext, sign_context
+from egretlift.outcome import CONTEXT_HEADER, IDENTIFIER_HEADER, Outcome, Refusal
+from egretlift.retries import record_request, spend_budget, spend_retry
+from egretlift.routing import choose_host, finish_call, record_answer, start_call
+from egretlift.transport.forward import classify_peer_answer, send_request
+from egretlift.transport.messages import answer_refusal, can_replay, close_answer
+
+# Refusals for which another host of the service may do better.
+HOST_REASONS = frozenset(
+    (
+        "overload",
+        "no-upstream",
+        "no-connection",
+        "draining",
+        "stopping",
+        "upstream-refused",
+        "configuration-missing",
+    )
+)
+LOAD_REASONS = frozenset(("overload", "upstream-refused", "throttled"))
+
+
+class Call:
+    """One call on its way through this daemon.
+
+    Attributes
+    ----------
+    token : str
+        Names the call to the upstream that runs it.
+    deadline : float
+        Monotonic time in seconds.
+    depth : int
+        0 for a caller's request.
+    key_digest : str or None
+        Digest of the key, known only at the entry daemon.
+    outgoing_failed, outgoing_refused : bool
+        Whether a call made by the upstream while it ran this call did not end
+        whole, or was refused for load.
+    """
+
+    __slots__ = (
+        "allowance",
+        "body",
+        "call_id",
+        "deadline",
+        "depth",
+        "headers",
+        "identifier",
+        "key_digest",
+        "method",
+        "organisation",
+        "outgoing_failed",
+        "outgoing_refused",
+        "path",
+        "priority",
+        "profile",
+        "received_at",
+        "repeats",
+        "route",
+        "service",
+        "token",
+    )
+
+    def __init__(self, method, path, headers, body):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.received_at = time.monotonic()
+        self.token = secrets.token_urlsafe(12)
+        self.call_id = self.token
+        self.depth = 0
+        self.organisation = None
+        self.key_digest = None
+        self.identifier = None
+        self.outgoing_failed = False
+        self.outgoing_refused = False
+        self.repeats = None
+        self.route = None
+        self.profile = None
+
+
+def remaining(call):
+    """Return the seconds until the deadline of a call."""
+    return call.deadline - time.monotonic()
+
+
+def make_context(board, call, lent, identifier):
+    """Return the context of a call for another daemon.
+
+    Parameters
+    ----------
+    lent : int
+        Retries lent to the receiver.
+    identifier : str or None
+        Given only when the receiver is the home of the identifier.
+    """
+    return CallContext(
+        call_id=call.call_id,
+        organisation=call.organisation,
+        priority=int(call.priority),
+        remaining_s=remaining(call),
+        retries=lent,
+        depth=call.depth,
+        identifier=identifier,
+        origin_host=board.settings.host,
+        entry=call.depth == 0,
+    )
+
+
+async def forward_to(board, call, member, identifier=None):
+    """Send a call to another daemon and return its answer."""
+    now = time.monotonic()
+    lent = call.allowance.left
+    context = make_context(board, call, lent, identifier)
+    signed = sign_context(board.settings.mesh_secret, context)
+    headers = [*call.headers, (CONTEXT_HEADER, signed)]
+    if call.identifier and identifier is None and call.depth:
+        headers.append((IDENTIFIER_HEADER, call.identifier))
+    url = f"http://{format_address(member.address)}:{member.peer_port}{call.path}"
+    start_call(board.host_records, member.host)
+    try:
+        answer, received = await send_request(
+            board.sessions["peers"], url, call, headers, remaining(call), expect=True
+        )
+    finally:
+        finish_call(board.host_records, member.host)
+    if received:
+        classify_peer_answer(answer, received)
+    # A lost answer returns nothing of the allowance.
+    returned = answer.retries_left if received else None
+    if answer.outcome is Outcome.REFUSED_NOT_RUN and returned is None:
+        returned = lent
+    call.allowance.left = min(lent, returned or 0)
+    finished = time.monotonic()
+    load = parse_load(answer.load) if answer.load else None
+    record_answer(
+        board.host_records,
+        member.host,
+        board.settings,
+        finished,
+        answer.outcome if answer.reason != "no-connection" else None,
+        finished - now,
+        load,
+    )
+    return answer
+
+
+def format_address(address):
+    """Return an IP address as it stands in a URL.
+
+    Examples
+    --------
+    >>> format_address("::1")
+    '[::1]'
+    """
+    return f"[{address}]" if ":" in address else address
+
+
+def choose_target(board, call, excluded):
+    """Return the member that is to run the call, which may be this host's own.
+
+    The call stays on this host when its upstream can take it, since that saves
+    a hop.
+    """
+    me = board.me
+    own = call.service == board.upstream.service and me.host not in excluded
+    if own and not excluded and board.upstream.status == "serving":
+        return me
+    return choose_host(
+        board.host_records,
+        board.members.hosts_of(call.service),
+        board.settings,
+        time.monotonic(),
+        board.random,
+        board.settings.zone,
+        excluded | {me.host},
+    )
+
+
+async def attempt(board, call, member):
+    """Run the call once on one host and return its answer."""
+    if member.host == board.me.host:
+        return await execute_here(board, call)
+    return await forward_to(board, call, member)
+
+
+def refusal_tries(board, call):
+    """Return on how many further hosts a refused call may be tried."""
+    settings = board.settings
+    if call.priority == 0:
+        return settings.critical_refused_tries
+    return settings.refused_tries
+
+
+def may_retry(board, call, answer, attempts):
+    """Return whether a failed call may be run once more, and pay for it."""
+    if answer.outcome not in (Outcome.FAILED_WAS_RUN, Outcome.UNKNOWN):
+        return False
+    if not call.profile or not call.profile.idempotent or not can_replay(call.body):
+        return False
+    policy = board.settings.retry_policy
+    if policy == "fixed":
+        return attempts < board.settings.fixed_tries
+    if policy == "none" or answer.deeper or answer.reason == "deadline":
+        return False
+    if not spend_budget(
+        board.budget, board.settings, time.monotonic(), call.service
+    ) or not spend_retry(call.allowance):
+        return False
+    count(board, "retries", call.service)
+    return True
+
+
+async def run_call(board, call):
+    """Run a call on one host after another until an answer can be given.
+
+    Returns
+    -------
+    Answer
+        ``REFUSED_NOT_RUN`` only if every host that was tried refused.
+    """
+    settings = board.settings
+    record_request(board.budget, settings, time.monotonic(), call.service)
+    excluded, refusals, attempts, ran = set(), 0, 0, False
+    answer = None
+    while True:
+        member = choose_target(board, call, excluded)
+        if member is None:
+            break
+        if answer is not None:
+            close_answer(answer, whole=False)
+        answer = await attempt(board, call, member)
+        attempts += 1
+        excluded.add(member.host)
+        if answer.outcome is Outcome.WHOLE or remaining(call) <= 0:
+            break
+        if answer.outcome is Outcome.REFUSED_NOT_RUN:
+            refusals += 1
+            if answer.reason not in HOST_REASONS or not can_replay(call.body):
+                break
+            if refusals > refusal_tries(board, call):
+                break
+            continue
+        ran = True
+        if not may_retry(board, call, answer, attempts):
+            break
+        if len(excluded) >= len(board.members.hosts_of(call.service)):
+            excluded.clear()
+    if answer is None:
+        refusal = Refusal("no-host", 503, "retry; no host of the service is known")
+        answer = answer_refusal(refusal)
+    return settle_outcome(answer, ran)
+
+
+def settle_outcome(answer, ran):
+    """Correct the outcome of a refusal that follows an attempt that may have run."""
+    if ran and answer.outcome is Outcome.REFUSED_NOT_RUN:
+        answer.outcome = Outcome.UNKNOWN
+    return answer
+
+
+def refuse_early(board, call, target):
+    """Return a refusal if work like this call is being refused further down."""
+    settings = board.settings
+    now = time.monotonic()
+    if settings.admission_policy != "adaptive":
+        return None
+    record_sent(board.throttle, settings, now, target, call.priority)
+    if not should_refuse(
+        board.throttle, settings, now, board.random, target, call.priority
+    ):
+        return None
+    count(board, "throttled", target)
+    return answer_refusal(
+        Refusal("throttled", 503, "retry later; a service that this needs is overloaded")
+    )
+
+
+def learn_acceptance(board, call, target, answer):
+    """Tell the throttle whether the work was accepted all the way down."""
+    refused = answer.reason in LOAD_REASONS or call.outgoing_refused
+    if not refused:
+        record_accepted(
+            board.throttle, board.settings, time.monotonic(), target, call.priority
+        )
--- /dev/null
+++ b/egretlift/daemon/execution.py
@@ -0,0 +1,243 @@
+"""Running a call on this host's upstream."""
+
+import time
+
+import anyio
+
+from egretlift.admission import (
+    Waiting,
+    cancel_waiting,
+    expire_waiting,
+    release_slot,
+    request_slot,
+)
+from egretlift.blackboard import count
+from egretlift.configuration import find_organisation, has_organisation
+from egretlift.daemon.rate import cancel_token, draw_token, reserve_token
+from egretlift.outcome import (
+    CALL_HEADER,
+    DEADLINE_HEADER,
+    IDENTIFIER_HEADER,
+    ORGANISATION_HEADER,
+    PRIORITY_HEADER,
+    Outcome,
+    Refusal,
+)
+from egretlift.transport.forward import classify_upstream_answer, send_request
+from egretlift.transport.messages import answer_refusal
+
+REMEDIES = {
+    "overload": "retry later; the host is overloaded",
+    "deadline": "allow more time; the call cannot finish before its deadline",
+    "no-upstream": "retry; no upstream is announced on this host",
+    "draining": "retry; the upstream of this host is leaving",
+    "rate": "slow down; the organisation's rate and burst are used up",
+    "key-unknown": "use a key that is in force",
+}
+
+
+def refuse(reason):
+    """Return the answer for a call refused on this host."""
+    status = {"rate": 429, "key-unknown": 401, "deadline": 504}.get(reason, 503)
+    return answer_refusal(Refusal(reason, status, REMEDIES[reason]))
+
+
+def check_upstream(board):
+    """Return the reason why the upstream takes no new work, or None."""
+    upstream = board.upstream
+    if upstream.status == "serving" and time.monotonic() < upstream.expires_at:
+        return None
+    return "draining" if upstream.status in ("draining", "left") else "no-upstream"
+
+
+def apply_decisions(board, decisions):
+    """Wake the calls that the admission queue has started or refused."""
+    for decision in decisions:
+        slot = board.slots.pop(decision.waiting.call_id, None)
+        if slot is not None:
+            slot.decision = decision
+            slot.event.set()
+
+
+class Slot:
+    """A call's place in the admission queue."""
+
+    __slots__ = ("decision", "event", "waiting")
+
+    def __init__(self, waiting):
+        self.waiting = waiting
+        self.event = anyio.Event()
+        self.decision = None
+
+
+async def enter_queue(board, call):
+    """Wait for a slot of the upstream and return (waiting, refusal reason)."""
+    settings, now = board.settings, time.monotonic()
+    weight = call.profile.weight if call.profile else 1.0
+    waiting = Waiting(
+        call_id=call.token,
+        organisation=call.organisation or "",
+        priority=call.priority,
+        weight=weight,
+        queued_at=now,
+        deadline=call.deadline,
+        kind=call.route.prefix if call.route else "",
+    )
+    slot = board.slots[call.token] = Slot(waiting)
+    apply_decisions(board, request_slot(board.admission, settings, now, waiting))
+    if slot.decision is None:
+        try:
+            await slot.event.wait()
+        except BaseException:
+            leave_queue(board, slot)
+            raise
+    decision = slot.decision
+    return waiting, None if decision.started else decision.reason
+
+
+def leave_queue(board, slot):
+    """Give up a slot whose call was cancelled while it waited."""
+    now, state = time.monotonic(), board.admission
+    board.slots.pop(slot.waiting.call_id, None)
+    if slot.decision is None:
+        decisions = cancel_waiting(state, board.settings, now, slot.waiting)
+    elif slot.decision.started:
+        decisions = release_slot(
+            state, board.settings, now, slot.waiting, None, Outcome.UNKNOWN
+        )
+    else:
+        return
+    apply_decisions(board, decisions)
+
+
+async def expire_queue(board):
+    """Refuse calls that have waited too long, for as long as the daemon runs."""
+    while True:
+        await anyio.sleep(0.01)
+        apply_decisions(
+            board, expire_waiting(board.admission, board.settings, time.monotonic())
+        )
+
+
+def check_dispatch(board, call):
+    """Return the reason why the call may not be sent now, or None.
+
+    This runs without an await between it and the upstream's socket, so that a
+    daemon that was paused notices what has lapsed meanwhile. The rate token is
+    drawn last, since the other checks cost nothing.
+    """
+    if time.monotonic() >= call.deadline:
+        return "deadline"
+    reason = check_upstream(board)
+    if reason:
+        return reason
+    if call.organisation is not None:
+        catalog = board.catalog
+        if call.key_digest is not None:
+            if find_organisation(catalog, call.key_digest) != call.organisation:
+                return "key-unknown"
+        elif not has_organisation(catalog, call.organisation):
+            return "key-unknown"
+        if call.depth == 0 and not draw_token(board, call.organisation):
+            return "rate"
+    return None
+
+
+async def execute_here(board, call):
+    """Run a call on the upstream of this host.
+
+    Returns
+    -------
+    Answer
+        The slot is held until the answer is closed.
+    """
+    reason = check_upstream(board)
+    if reason:
+        return refuse(reason)
+    counted = call.organisation is not None and call.depth == 0
+    if counted and not await reserve_token(board, call):
+        count(board, "refused_rate", call.organisation)
+        return refuse("rate")
+    try:
+        waiting, reason = await enter_queue(board, call)
+        if reason:
+            count(board, "refused_admission", reason)
+            return refuse(reason)
+        return await dispatch(board, call, waiting)
+    finally:
+        if counted:
+            cancel_token(board, call.organisation)
+
+
+async def dispatch(board, call, waiting):
+    """Send a call that holds a slot to the upstream."""
+    settings = board.settings
+    started = time.monotonic()
+    reason = check_dispatch(board, call)
+    if reason:
+        give_back(board, waiting, None, Outcome.REFUSED_NOT_RUN)
+        return refuse(reason)
+    board.calls[call.token] = call
+    try:
+        answer, received = await send_request(
+            board.sessions["upstream"],
+            make_upstream_url(board.upstream, call.path),
+            call,
+            make_upstream_headers(call),
+            max(call.deadline - started, 0.001),
+        )
+    except BaseException:
+        board.calls.pop(call.token, None)
+        give_back(board, waiting, None, Outcome.UNKNOWN)
+        raise
+    duration_s = time.monotonic() - started
+    if received:
+        classify_upstream_answer(answer, received)
+    elif answer.reason == "no-connection" and board.upstream.port:
+        count(board, "upstream_refused_connection", settings.host)
+    answer.deeper = call.outgoing_failed
+    count(board, "executions", call.service)
+
+    def finish(whole):
+        board.calls.pop(call.token, None)
+        outcome = answer.outcome if whole else Outcome.UNKNOWN
+        give_back(board, waiting, duration_s, outcome)
+
+    answer.finish = finish
+    if answer.body is not None:
+        answer.finish = None
+        finish(whole=True)
+    return answer
+
+
+def give_back(board, waiting, duration_s, outcome):
+    """Return a slot and start the calls that it makes room for."""
+    decisions = release_slot(
+        board.admission,
+        board.settings,
+        time.monotonic(),
+        waiting,
+        duration_s,
+        outcome,
+    )
+    apply_decisions(board, decisions)
+
+
+def make_upstream_url(upstream, path):
+    """Return the URL of a path on the upstream of this host."""
+    return f"http://{upstream.address}:{upstream.port}{path}"
+
+
+def make_upstream_headers(call):
+    """Return the headers of a call for the upstream that is to run it."""
+    headers = [
+        *call.headers,
+        (CALL_HEADER, call.token),
+        (DEADLINE_HEADER, str(max(0, int(1000 * (call.deadline - time.monotonic()))))),
+        (PRIORITY_HEADER, call.priority.name.lower()),
+    ]
+    if call.organisation is not None:
+        headers.append((ORGANISATION_HEADER, call.organisation))
+    if call.identifier:
+        headers.append((IDENTIFIER_HEADER, call.identifier))
+    return headers
--- /dev/null
+++ b/egretlift/daemon/gossip.py
@@ -0,0 +1,310 @@
+"""Gossip: exchange of member records, configuration and the zone lease."""
+
+import json
+import time
+
+import anyio
+
+from egretlift.blackboard import count
+from egretlift.configuration import (
+    confirm_freshness,
+    digest_catalog,
+    objects_after,
+    staleness,
+)
+from egretlift.daemon.announcements import publish_self
+from egretlift.daemon.watch import take_configuration
+from egretlift.daemon.zone import adopt_gossiped_lease, answer_question
+from egretlift.events import current_ring, observe_order, record_event
+from egretlift.membership import (
+    digest_table,
+    expire_suspects,
+    forget_members,
+    members_to_send,
+    merge_members,
+    refute,
+    select_lost_peer,
+    select_peers,
+    select_probe_helpers,
+    suspect_member,
+)
+from egretlift.transport.codec import (
+    pack_member,
+    pack_object,
+    unpack_members,
+    unpack_objects,
+)
+from egretlift.transport.control import ControlFailed, call_control
+from egretlift.transport.generated import control_pb2 as pb
+
+MEMBERS_PER_MESSAGE = 32
+# Keeps a message below the 4 MB limit of gRPC; the rest follows in the next one.
+OBJECTS_PER_MESSAGE = 1000
+# Part of the exchanges that go to a dead member, to find the end of a partition.
+LOST_PEER_PART = 0.2
+# Changes that arrive together travel in one message.
+SPREAD_DELAY_S = 0.01
+
+
+def describe_lease_message(board):
+    """Return the message of the zone lease as this host knows it."""
+    lease = board.leases[board.settings.zone]
+    if not lease.version:
+        return None
+    return pb.ZoneLease(
+        zone=lease.zone,
+        version=lease.version,
+        spec_json=json.dumps(board.lease_specs[lease.zone]),
+    )
+
+
+def make_gossip(board, objects=(), members=()):
+    """Return a gossip request with what every exchange carries."""
+    age = staleness(board.catalog, time.monotonic())
+    return pb.GossipRequest(
+        sender=pack_member(board.me),
+        members=[pack_member(member) for member in members],
+        member_digest=digest_table(board.members),
+        revision=board.catalog.revision,
+        catalog_digest=digest_catalog(board.catalog),
+        catalog_complete=board.catalog_complete,
+        staleness_s=age,
+        objects=[pack_object(item) for item in objects[:OBJECTS_PER_MESSAGE]],
+        zone_lease=describe_lease_message(board),
+        order=current_ring().order,
+    )
+
+
+def take_members(board, messages):
+    """Merge member records and refute false news of this host."""
+    now = time.monotonic()
+    for member in merge_members(board.members, now, unpack_members(messages)):
+        if member.host == board.me.host:
+            continue
+        record_event(
+            "member-changed",
+            member=member.host,
+            status=member.status,
+            incarnation=member.incarnation,
+        )
+    corrected = refute(board.members, now, board.me)
+    if corrected is not None:
+        board.me = corrected
+        board.kick_gossip.set()
+
+
+def take_exchange(board, message):
+    """Merge what both kinds of gossip message carry."""
+    observe_order(current_ring(), message.order)
+    take_members(board, [message.sender, *message.members])
+    take_configuration(board, unpack_objects(message.objects), message.sender.host)
+    same = message.catalog_digest == digest_catalog(board.catalog)
+    if message.catalog_complete and same:
+        confirm_freshness(board.catalog, time.monotonic(), message.staleness_s)
+        if not board.catalog_complete:
+            board.catalog_complete = True
+            record_event("catalog-complete", revision=board.catalog.revision)
+    if message.HasField("zone_lease"):
+        adopt_gossiped_lease(board, message.zone_lease)
+
+
+def missing_objects(board, revision, digest):
+    """Return the objects that a peer with this revision and digest lacks.
+
+    A peer with the same highest revision and another digest has a gap, which
+    only the whole catalog fills.
+    """
+    catalog = board.catalog
+    if digest == digest_catalog(catalog) or revision > catalog.revision:
+        return []
+    return objects_after(catalog, 0 if revision == catalog.revision else revision)
+
+
+async def answer_gossip(board, request):
+    """Answer a gossip exchange of another daemon."""
+    count(board, "control_bytes", "received", request.ByteSize())
+    take_exchange(board, request)
+    members = members_to_send(
+        board.members, board.random, MEMBERS_PER_MESSAGE, request.member_digest
+    )
+    known = board.members.members.get(request.sender.host)
+    if known is not None and known not in members:
+        # A member that others have declared dead must hear of it to refute it.
+        members.append(known)
+    missing = missing_objects(board, request.revision, request.catalog_digest)
+    reply = pb.GossipReply(
+        sender=pack_member(board.me),
+        members=[pack_member(member) for member in members],
+        revision=board.catalog.revision,
+        catalog_digest=digest_catalog(board.catalog),
+        catalog_complete=board.catalog_complete,
+        staleness_s=staleness(board.catalog, time.monotonic()),
+        objects=[pack_object(item) for item in missing[:OBJECTS_PER_MESSAGE]],
+        zone_lease=describe_lease_message(board),
+        order=current_ring().order,
+        wants_objects=not missing
+        and request.catalog_digest != digest_catalog(board.catalog),
+    )
+    if request.HasField("question"):
+        reply.confirmation.CopyFrom(answer_question(board, request.question))
+    count(board, "control_bytes", "sent", reply.ByteSize())
+    return reply
+
+
+async def send_control(board, member, name, request, timeout_s=None):
+    """Send a control message to a member and return the reply."""
+    settings = board.settings
+    count(board, "control_bytes", "sent", request.ByteSize())
+    reply = await call_control(
+        board.channels,
+        settings.mesh_secret,
+        (member.address, member.control_port),
+        name,
+        request,
+        timeout_s or settings.gossip_timeout_s,
+    )
+    count(board, "control_bytes", "received", reply.ByteSize())
+    return reply
+
+
+async def exchange(board, member, objects=()):
+    """Carry out one exchange with a member; return whether it answered."""
+    count(board, "gossip_exchanges")
+    changes = members_to_send(board.members, board.random, MEMBERS_PER_MESSAGE)
+    try:
+        request = make_gossip(board, objects, changes)
+        reply = await send_control(board, member, "Gossip", request)
+        take_exchange(board, reply)
+        if reply.wants_objects:
+            missing = missing_objects(board, reply.revision, reply.catalog_digest)
+            if missing:
+                request = make_gossip(board, missing)
+                take_exchange(
+                    board, await send_control(board, member, "Gossip", request)
+                )
+    except ControlFailed:
+        count(board, "gossip_failed")
+        return False
+    return True
+
+
+class Endpoint:
+    """Address of a daemon of which no member record is known yet."""
+
+    __slots__ = ("address", "control_port")
+
+    def __init__(self, address, control_port):
+        self.address = address
+        self.control_port = control_port
+
+
+def pick_partner(board):
+    """Return the member or endpoint for the next periodic exchange."""
+    if board.random.random() < LOST_PEER_PART:
+        lost = select_lost_peer(board.members, board.random)
+        if lost is not None:
+            return lost
+    peers = select_peers(board.members, board.random, 1)
+    if peers:
+        return peers[0]
+    seeds = [
+        seed
+        for seed in board.settings.seeds
+        if seed != (board.settings.address, board.settings.control_port)
+    ]
+    lease_seeds = board.lease_endpoints
+    found = seeds or lease_seeds
+    return Endpoint(*board.random.choice(found)) if found else None
+
+
+async def check_member(board, member):
+    """Suspect a member that neither this daemon nor three others can reach."""
+    helpers = select_probe_helpers(board.members, board.random, member.host)
+    reached = []
+
+    async def ask(helper):
+        request = pb.ProbeRequest(
+            address=member.address, control_port=member.control_port
+        )
+        timeout_s = 2 * board.settings.gossip_timeout_s
+        try:
+            reply = await send_control(board, helper, "Probe", request, timeout_s)
+            reached.append(reply.reachable)
+        except ControlFailed:
+            pass
+
+    async with anyio.create_task_group() as tasks:
+        for helper in helpers:
+            tasks.start_soon(ask, helper)
+    if any(reached):
+        return
+    suspect = suspect_member(board.members, time.monotonic(), member)
+    if suspect is not None:
+        record_event("member-suspected", member=member.host, helpers=len(helpers))
+        board.kick_gossip.set()
+
+
+async def answer_probe(board, request):
+    """Probe another daemon for a peer; without a target, only answer."""
+    if not request.address:
+        return pb.ProbeReply(reachable=True)
+    target = Endpoint(request.address, request.control_port)
+    try:
+        await send_control(board, target, "Probe", pb.ProbeRequest())
+    except ControlFailed:
+        return pb.ProbeReply(reachable=False)
+    return pb.ProbeReply(reachable=True)
+
+
+async def gossip_once(board):
+    """Exchange with one partner and check on it if it does not answer."""
+    partner = pick_partner(board)
+    if partner is None or await exchange(board, partner):
+        return
+    if not isinstance(partner, Endpoint) and partner.status not in ("dead", "left"):
+        await check_member(board, partner)
+
+
+async def gossip_periodically(board):
+    """Exchange with a random member each period."""
+    settings = board.settings
+    while True:
+        # The period varies so that exchanges do not fall into step.
+        lonely = not select_peers(board.members, board.random, 1)
+        period_s = settings.gossip_period_s * (0.2 if lonely else 1.0)
+        await anyio.sleep(period_s * board.random.uniform(0.8, 1.2))
+        board.tasks.start_soon(gossip_once, board)
+
+
+async def spread_changes(board):
+    """Tell a few members of a change at once."""
+    while True:
+        await board.kick_gossip.wait()
+        await anyio.sleep(SPREAD_DELAY_S)
+        board.kick_gossip = anyio.Event()
+        objects, board.fresh_objects = board.fresh_objects, []
+        peers = select_peers(
+            board.members, board.random, board.settings.gossip_fanout
+        )
+        for peer in peers:
+            board.tasks.start_soon(exchange, board, peer, objects)
+
+
+async def expire_members(board):
+    """Declare overdue suspects dead and forget members long gone."""
+    while True:
+        await anyio.sleep(0.5)
+        now = time.monotonic()
+        for member in expire_suspects(board.members, board.settings, now):
+            record_event("member-dead", member=member.host)
+            board.kick_gossip.set()
+        forget_members(board.members, board.settings, now)
+
+
+async def say_goodbye(board):
+    """Tell a few members that this host has left."""
+    publish_self(board, "left")
+    peers = select_peers(board.members, board.random, board.settings.gossip_fanout)
+    async with anyio.create_task_group() as tasks:
+        for peer in peers:
+            tasks.start_soon(exchange, board, peer)
--- /dev/null
+++ b/egretlift/daemon/main.py
@@ -0,0 +1,187 @@
+"""Entry point of ``egretliftd``."""
+
+import os
+import signal
+import sys
+import time
+
+import anyio
+
+from egretlift.blackboard import Blackboard
+from egretlift.daemon.allocation import allocate_here, keep_shares
+from egretlift.daemon.announcements import expire_announcement, publish_self
+from egretlift.daemon.execution import expire_queue
+from egretlift.daemon.gossip import (
+    answer_gossip,
+    answer_probe,
+    expire_members,
+    gossip_periodically,
+    say_goodbye,
+    spread_changes,
+)
+from egretlift.daemon.operators import serve_operators
+from egretlift.daemon.ports import handle_caller, handle_peer, handle_upstream
+from egretlift.daemon.watch import follow_platform
+from egretlift.daemon.zone import keep_zone_lease, release_zone_lease
+from egretlift.errors import EgretliftError
+from egretlift.events import record_event, start_logging
+from egretlift.idempotency import expire_records
+from egretlift.platform import PlatformClient
+from egretlift.settings import parse_settings
+from egretlift.transport.control import (
+    ControlHandlers,
+    close_channels,
+    close_control,
+    serve_control,
+)
+from egretlift.transport.forward import open_session
+from egretlift.transport.server import listen
+
+# Other daemons learn within this time that the host takes no new work.
+LINGER_S = 1.0
+UPSTREAM_ADDRESS = "127.0.0.1"
+
+
+def bind_board(handle, board):
+    """Return a handler of one argument that uses the blackboard."""
+
+    async def handle_one(argument):
+        return await handle(board, argument)
+
+    return handle_one
+
+
+async def open_ports(board):
+    """Open the HTTP ports and return their (server, listener) pairs."""
+    settings = board.settings
+    return [
+        await listen(bind_board(handle, board), settings, address, port)
+        for handle, address, port in (
+            (handle_peer, settings.address, settings.peer_port),
+            (handle_upstream, UPSTREAM_ADDRESS, settings.upstream_port),
+            (handle_caller, settings.address, settings.caller_port),
+        )
+    ]
+
+
+async def tidy_ledger(board):
+    """Remove expired identifiers now and then."""
+    while True:
+        await anyio.sleep(10)
+        expire_records(board.ledger, time.monotonic())
+
+
+async def wait_for_signal(board):
+    """Return when the process is asked to stop."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def drain(board, ports):
+    """Stop gracefully: finish every request that is in flight.
+
+    New requests of callers are forwarded to other hosts while this host's own
+    upstream gets no new work.
+    """
+    settings = board.settings
+    board.stopping = True
+    record_event("stopping", open_requests=board.open_requests)
+    publish_self(board, "draining")
+    await release_zone_lease(board)
+    with anyio.move_on_after(settings.drain_limit_s):
+        await anyio.sleep(LINGER_S)
+        for _, listener in ports:
+            listener.close()
+        while board.open_requests or board.calls:
+            await anyio.sleep(0.02)
+    if board.open_requests:
+        record_event("drain-limit-reached", open_requests=board.open_requests)
+    await say_goodbye(board)
+    for server, _ in ports:
+        await server.shutdown(1)
+    record_event("stopped")
+
+
+CONTROLLERS = (
+    expire_queue,
+    expire_announcement,
+    expire_members,
+    gossip_periodically,
+    spread_changes,
+    follow_platform,
+    keep_zone_lease,
+    keep_shares,
+    serve_operators,
+    tidy_ledger,
+)
+
+
+async def run_daemon(settings):
+    """Run one daemon until it is asked to stop.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+    incarnation = int(time.time() * 1000)
+    ring = start_logging(settings.host)
+    board = Blackboard(settings, incarnation)
+    board.events = ring
+    board.platform = PlatformClient(settings)
+    board.sessions = {
+        "upstream": open_session(settings),
+        "peers": open_session(settings),
+    }
+    handlers = ControlHandlers(
+        settings.mesh_secret,
+        bind_board(answer_gossip, board),
+        bind_board(answer_probe, board),
+        bind_board(allocate_here, board),
+    )
+    control = await serve_control(handlers, settings.address, settings.control_port)
+    ports = await open_ports(board)
+    publish_self(board)
+    record_event("started", zone=settings.zone, incarnation=incarnation)
+    try:
+        async with anyio.create_task_group() as tasks:
+            board.tasks = tasks
+            for controller in CONTROLLERS:
+                tasks.start_soon(controller, board)
+            await wait_for_signal(board)
+            await drain(board, ports)
+            board.stop.set()
+            await anyio.sleep(0)
+            tasks.cancel_scope.cancel()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await close_control(control)
+            close_channels(board.channels)
+            for session in board.sessions.values():
+                await session.close()
+            await board.platform.close()
+
+
+def main():
+    """Check the settings and run the daemon; exit status 2 for bad settings."""
+    try:
+        settings = parse_settings(sys.argv[1:], os.environ)
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            print(f"egretliftd: {error}", file=sys.stderr)
+        raise SystemExit(2) from None
+    try:
+        anyio.run(run_daemon, settings)
+    except OSError as error:
+        print(f"egretliftd: {error}; free the port or choose another", file=sys.stderr)
+        raise SystemExit(1) from None
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            if not isinstance(error, EgretliftError):
+                raise
+            print(f"egretliftd: {error}", file=sys.stderr)
+        raise SystemExit(1) from None
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/egretlift/daemon/operators.py
@@ -0,0 +1,166 @@
+"""The operators' port: metrics, state and events."""
+
+import json
+import time
+from urllib.parse import parse_qs
+
+from aioprometheus import Counter, Gauge, Registry, render
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from egretlift.admission import report_load
+from egretlift.configuration import digest_catalog, staleness
+from egretlift.daemon.allocation import describe_allocators, describe_shares
+from egretlift.daemon.zone import describe_zone_lease
+from egretlift.events import current_ring, events_after
+from egretlift.membership import encode_member
+
+# Name of each counter on the blackboard, its label and its help text.
+COUNTERS = {
+    "answers": ("outcome", "Answers given, by outcome and reason"),
+    "executions": ("service", "Requests sent to this host's upstream"),
+    "retries": ("service", "Retries paid for"),
+    "repeats_refused": ("service", "Repeated outgoing calls refused"),
+    "throttled": ("target", "Calls refused early because work below is refused"),
+    "refused_rate": ("organisation", "Calls refused for the organisation's rate"),
+    "refused_admission": ("reason", "Calls refused by the admission queue"),
+    "resends": ("state", "Resends of identified calls, by state of the record"),
+    "claims_unsettled": ("error", "Claims that the platform did not settle"),
+    "draws_failed": ("organisation", "Tokens lapsed between arrival and dispatch"),
+    "contexts_forged": ("none", "Peer calls without a valid signature"),
+    "gossip_failed": ("none", "Gossip exchanges without a reply"),
+    "gossip_exchanges": ("none", "Gossip exchanges started"),
+    "control_bytes": ("direction", "Bytes of control messages"),
+    "platform_calls": ("kind", "Calls to the platform"),
+    "events_suppressed": ("event", "Events not logged because of their number"),
+    "upstream_refused_connection": ("host", "Connections refused by the upstream"),
+}
+
+
+def describe_limit(board):
+    """Return the admission state for the state page."""
+    load = report_load(board.admission)
+    return {
+        "in_flight": load.in_flight,
+        "limit": load.limit,
+        "queued": load.queued,
+        "shed_level": load.shed_level,
+    }
+
+
+def describe_configuration(board):
+    """Return the configuration in force for the state page."""
+    catalog = board.catalog
+    return {
+        "revision": catalog.revision,
+        "complete": catalog.complete,
+        "staleness_s": staleness(catalog, time.monotonic()),
+        "digest": digest_catalog(catalog),
+        "objects": {
+            f"{item.kind}/{item.name}": item.revision
+            for item in catalog.objects.values()
+        },
+        "errors": dict(catalog.errors),
+    }
+
+
+def describe_state(board):
+    """Return the state page as a dict."""
+    me = board.me
+    return {
+        "host": me.host,
+        "zone": me.zone,
+        "incarnation": me.incarnation,
+        "service": me.service,
+        "status": me.status,
+        "upstream": board.upstream.status,
+        "open_requests": board.open_requests,
+        "configuration": describe_configuration(board),
+        "members": [encode_member(member) for member in board.members.all_members()],
+        "limit": describe_limit(board),
+        "shares": describe_shares(board),
+        "allocators": describe_allocators(board),
+        "zone_lease": describe_zone_lease(board),
+    }
+
+
+def collect_metrics(board):
+    """Return the registry with the values of this moment."""
+    registry = Registry()
+    for (name, label), value in board.counters.values.items():
+        label_name, text = COUNTERS[name]
+        key = f"egretlift_{name}_total"
+        try:
+            collector = registry.get(key)
+        except KeyError:
+            collector = Counter(key, text, registry=registry)
+        collector.set({label_name: label}, value)
+    load = describe_limit(board)
+    age = staleness(board.catalog, time.monotonic())
+    gauges = {
+        "limit": load["limit"],
+        "in_flight": load["in_flight"],
+        "queued": load["queued"],
+        "configuration_revision": board.catalog.revision,
+        "configuration_staleness_seconds": -1 if age is None else age,
+        "members": len(board.members.all_members()),
+        "open_requests": board.open_requests,
+    }
+    for name, value in gauges.items():
+        gauge = Gauge(f"egretlift_{name}", f"Current {name}", registry=registry)
+        gauge.set({}, value)
+    return registry
+
+
+def answer_operator(board, path, query):
+    """Return (status, content type, body) for a request of an operator."""
+    if path == "/metrics":
+        body, _ = render(collect_metrics(board), [])
+        return 200, "text/plain; version=0.0.4", body
+    if path == "/state":
+        return 200, "application/json", json.dumps(describe_state(board)).encode()
+    if path == "/events":
+        after = parse_qs(query).get("after", ["0"])[0]
+        if not after.isdigit():
+            body = {"error": "after is not a number", "remedy": "give a sequence"}
+            return 400, "application/json", json.dumps(body).encode()
+        ring = current_ring()
+        events = events_after(ring, int(after))
+        body = {"events": events, "last": ring.sequence}
+        return 200, "application/json", json.dumps(body).encode()
+    body = {"error": "unknown path", "remedy": "use /metrics, /state or /events"}
+    return 404, "application/json", json.dumps(body).encode()
+
+
+def make_application(board):
+    """Return the ASGI application of the operators' port."""
+
+    async def answer(scope, receive, send):
+        if scope["type"] != "http":
+            return
+        status, kind, body = answer_operator(
+            board, scope["path"], scope["query_string"].decode("latin-1")
+        )
+        headers = [
+            (b"content-type", kind.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return answer
+
+
+async def serve_operators(board):
+    """Serve the operators' port until the daemon stops."""
+    config = Config()
+    address = board.settings.address
+    config.bind = [f"{address}:{board.settings.operators_port}"]
+    config.errorlog = None
+    config.graceful_timeout = 1
+    config.keep_alive_max_requests = 10**9
+    await serve(
+        make_application(board), config, shutdown_trigger=board.stop.wait, mode="asgi"
+    )
--- /dev/null
+++ b/egretlift/daemon/ports.py
@@ -0,0 +1,454 @@
+"""Handlers of the caller, upstream and peer ports."""
+
+import json
+import time
+
+from aiohttp import web
+
+from egretlift.admission import format_load, report_load
+from egretlift.blackboard import count
+from egretlift.configuration import (
+    find_organisation,
+    find_profile,
+    staleness,
+)
+from egretlift.daemon.announcements import (
+    accept_announcement,
+    leave_upstream,
+)
+from egretlift.daemon.calls import (
+    LOAD_REASONS,
+    Call,
+    learn_acceptance,
+    refuse_early,
+    run_call,
+)
+from egretlift.daemon.execution import execute_here
+from egretlift.daemon.once import issue, run_at_home, run_once
+from egretlift.errors import ContextForged
+from egretlift.events import record_event
+from egretlift.identity import digest_key, verify_context
+from egretlift.membership import match_route
+from egretlift.outcome import (
+    CALL_HEADER,
+    CAUSE_HEADER,
+    CONTEXT_HEADER,
+    IDENTIFIER_HEADER,
+    LOAD_HEADER,
+    RETRIES_HEADER,
+    TIMEOUT_HEADER,
+    Outcome,
+    Priority,
+    Refusal,
+)
+from egretlift.retries import (
+    RepeatRecords,
+    charge_repeat,
+    finish_repeat,
+    lend,
+    open_allowance,
+    settle,
+)
+from egretlift.transport.messages import (
+    WHOLE_BODY_BYTES,
+    BodyCutShort,
+    BodyTooLarge,
+    BodyTooSlow,
+    RequestBody,
+    answer_refusal,
+    close_answer,
+    hold_body,
+    label_answer,
+    select_request_headers,
+)
+
+# Deeper chains than this are taken for a loop in the call graph.
+DEEPEST_CALL = 32
+OUTGOING_PREFIX = "/call/"
+
+
+class CallRefused(Exception):
+    """A call is refused before any host was tried."""
+
+    def __init__(self, reason, status, remedy):
+        super().__init__(reason)
+        self.refusal = Refusal(reason, status, remedy)
+
+
+def read_timeout(headers, profile):
+    """Return the time limit of a call in seconds, capped by its profile."""
+    text = headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return profile.timeout_s
+    if not text.isdigit() or int(text) == 0 or len(text) > 9:
+        raise CallRefused(
+            "timeout-invalid", 400, f"give {TIMEOUT_HEADER} as whole milliseconds"
+        )
+    return min(int(text) / 1000, profile.timeout_s)
+
+
+def resolve_route(board, call, routes):
+    """Set route, profile and priority of a call from announced routes."""
+    path = call.path.partition("?")[0]
+    call.route = match_route(routes, call.method, path)
+    if call.route is None:
+        raise CallRefused("no-route", 404, "use a path that the service announces")
+    call.profile = find_profile(board.catalog, call.route.profile)
+    if call.profile is None:
+        if not board.catalog.complete:
+            raise CallRefused(
+                "configuration-missing", 503, "retry; the host is still starting"
+            )
+        raise CallRefused(
+            "profile-unknown",
+            503,
+            f"write the profile {call.route.profile!r} named by the service",
+        )
+
+
+def check_staleness(board, profile):
+    """Refuse if the configuration is older than the profile allows."""
+    limit = profile.max_staleness_s
+    if limit is None:
+        return
+    age = staleness(board.catalog, time.monotonic())
+    if age is None or age > limit:
+        raise CallRefused(
+            "configuration-stale",
+            503,
+            "retry; the host cannot confirm that the key is still in force",
+        )
+
+
+def authenticate(board, call, headers):
+    """Set the organisation of a call from its key."""
+    if call.profile.open_to_all:
+        return
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        raise CallRefused(
+            "key-missing", 401, "send the organisation's key as a bearer token"
+        )
+    if not board.catalog.complete:
+        raise CallRefused(
+            "configuration-missing", 503, "retry; the host is still starting"
+        )
+    call.key_digest = digest_key(key.strip())
+    call.organisation = find_organisation(board.catalog, call.key_digest)
+    if call.organisation is None:
+        raise CallRefused("key-unknown", 401, "use a key that is in force")
+
+
+def check_identifier(text):
+    """Return an identifier header's value, or None if it is absent."""
+    if text is not None and not 1 <= len(text) <= 1000:
+        raise CallRefused(
+            "identifier-invalid", 400, "send 1 to 200 printable characters"
+        )
+    return text
+
+
+async def handle_caller(board, request):
+    """Answer one request on the caller port."""
+    if request.path.startswith("/egretlift/"):
+        return await handle_reserved(board, request)
+    return await handle_call(board, request, receive_caller)
+
+
+async def handle_reserved(board, request):
+    """Answer a request for an identifier or for the daemon's readiness."""
+    if request.path == "/egretlift/identifiers" and request.method == "POST":
+        return web.json_response({"identifier": issue(board)}, status=201)
+    if request.path == "/egretlift/ready" and request.method == "GET":
+        ready = board.upstream.status == "serving" and not board.stopping
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+    return await send_answer(
+        request,
+        answer_refusal(Refusal("no-route", 404, "see docs/operators/start.md")),
+    )
+
+
+async def receive_caller(board, request):
+    """Carry one caller's request and return (answer, call)."""
+    call = Call(
+        request.method,
+        request.path_qs,
+        select_request_headers(request.headers, keep_authorization=False),
+        RequestBody(request, board.settings.body_gap_s),
+    )
+    if board.stopping:
+        raise CallRefused("stopping", 503, "retry at another host")
+    call.service = board.upstream.service
+    resolve_route(board, call, board.upstream.routes)
+    authenticate(board, call, request.headers)
+    check_staleness(board, call.profile)
+    call.priority = call.profile.priority
+    call.deadline = call.received_at + read_timeout(request.headers, call.profile)
+    call.allowance = open_allowance(call.profile.retries)
+    call.identifier = check_identifier(request.headers.get(IDENTIFIER_HEADER))
+    target = f"{call.service}{call.route.prefix}"
+    early = refuse_early(board, call, target)
+    if early is not None:
+        return early, call
+    await hold_small_body(call)
+    if call.profile.at_most_once:
+        answer = await run_once(board, call)
+    else:
+        answer = await run_call(board, call)
+    learn_acceptance(board, call, target, answer)
+    return answer, call
+
+
+async def hold_small_body(call):
+    """Hold a body of known small size, so that it can be sent again."""
+    length = call.body.length
+    if length is not None and length <= WHOLE_BODY_BYTES:
+        await hold_body(call.body, WHOLE_BODY_BYTES)
+
+
+async def handle_peer(board, request):
+    """Answer one request on the peer port."""
+    return await handle_call(board, request, receive_peer)
+
+
+def adopt_context(call, context):
+    """Copy what another daemon vouches for into a call."""
+    call.call_id = context.call_id
+    call.organisation = context.organisation
+    call.priority = Priority(context.priority)
+    call.deadline = call.received_at + context.remaining_s
+    call.depth = context.depth
+    call.allowance = open_allowance(context.retries)
+    call.identifier = context.identifier
+
+
+async def receive_peer(board, request):
+    """Carry a call that another daemon sent and return (answer, call)."""
+    text = request.headers.get(CONTEXT_HEADER, "")
+    try:
+        context = verify_context(board.settings.mesh_secret, text)
+    except ContextForged:
+        count(board, "contexts_forged")
+        raise CallRefused(
+            "context-forged", 403, "send calls to the caller port"
+        ) from None
+    call = Call(
+        request.method,
+        request.path_qs,
+        select_request_headers(request.headers, keep_authorization=True),
+        RequestBody(request, board.settings.body_gap_s),
+    )
+    adopt_context(call, context)
+    call.service = board.upstream.service
+    if not board.upstream.service:
+        raise CallRefused("no-upstream", 503, "retry at another host")
+    resolve_route(board, call, board.upstream.routes)
+    if call.organisation is None and not call.profile.open_to_all:
+        raise CallRefused("key-missing", 401, "make the call within a keyed call")
+    if call.depth:
+        check_staleness(board, call.profile)
+    await hold_small_body(call)
+    if context.hop == "home":
+        await hold_body(call.body, call.profile.body_limit_bytes)
+        return await run_at_home(board, call), call
+    if context.hop == "outgoing" and call.profile.at_most_once and call.identifier:
+        return await run_once(board, call), call
+    return await execute_here(board, call), call
+
+
+async def handle_upstream(board, request):
+    """Answer one request on the upstream port."""
+    if request.path.startswith(OUTGOING_PREFIX):
+        return await handle_call(board, request, receive_outgoing)
+    if request.method == "POST" and request.path == "/announce":
+        return await handle_announcement(board, request)
+    if request.method == "POST" and request.path in ("/drain", "/leave"):
+        leave_upstream(board, request.path[1:])
+        return web.json_response({"status": board.upstream.status})
+    return await send_answer(
+        request,
+        answer_refusal(
+            Refusal("no-route", 404, "use /announce, /drain, /leave or /call/SERVICE/")
+        ),
+    )
+
+
+async def handle_announcement(board, request):
+    """Take an upstream's announcement."""
+    try:
+        body = json.loads(await request.read())
+        accept_announcement(board, body)
+    except ValueError as error:
+        errors = [{"error": str(error), "remedy": "send a JSON object"}]
+    except ExceptionGroup as group:
+        errors = [
+            {"error": error.message, "remedy": error.remedy}
+            for error in group.exceptions
+        ]
+    else:
+        return web.json_response({"lease_s": board.settings.announcement_lease_s})
+    return web.json_response({"errors": errors}, status=400)
+
+
+def split_outgoing(request):
+    """Return (service, path with query) of an outgoing call."""
+    rest = request.path_qs[len(OUTGOING_PREFIX) :]
+    service, slash, path = rest.partition("/")
+    if not service or not slash:
+        raise CallRefused("no-route", 404, "call /call/SERVICE/PATH")
+    return service, "/" + path
+
+
+async def receive_outgoing(board, request):
+    """Carry a call that this host's upstream makes and return (answer, call)."""
+    service, path = split_outgoing(request)
+    call = Call(
+        request.method,
+        path,
+        select_request_headers(request.headers, keep_authorization=True),
+        RequestBody(request, board.settings.body_gap_s),
+    )
+    call.service = service
+    token = request.headers.get(CALL_HEADER)
+    parent = board.calls.get(token) if token else None
+    if token and parent is None:
+        raise CallRefused(
+            "call-unknown", 409, "make outgoing calls only while the call runs"
+        )
+    call.identifier = check_identifier(request.headers.get(IDENTIFIER_HEADER))
+    members = board.members.hosts_of(service)
+    if not members:
+        raise CallRefused("no-host", 503, f"retry; no host of {service} is known")
+    resolve_route(board, call, members[0].routes)
+    inherit(call, parent, request.headers)
+    if call.depth > DEEPEST_CALL:
+        raise CallRefused("depth", 508, "remove the loop from the call graph")
+    await hold_small_body(call)
+    return await run_outgoing(board, call, parent), call
+
+
+def inherit(call, parent, headers):
+    """Give an outgoing call the context of the call that the upstream runs."""
+    timeout_s = read_timeout(headers, call.profile)
+    if parent is None:
+        call.priority = call.profile.priority
+        call.deadline = call.received_at + timeout_s
+        call.allowance = open_allowance(0)
+        call.depth = 1
+        return
+    call.call_id = parent.call_id
+    call.organisation = parent.organisation
+    call.priority = parent.priority
+    call.deadline = min(parent.deadline, call.received_at + timeout_s)
+    call.depth = parent.depth + 1
+
+
+async def run_outgoing(board, call, parent):
+    """Run an outgoing call on the allowance of its parent call."""
+    fingerprint = (call.method, call.service, call.path, call.identifier)
+    lent = 0
+    if parent is not None:
+        if parent.repeats is None:
+            parent.repeats = RepeatRecords()
+        if board.settings.retry_policy == "budget" and not charge_repeat(
+            parent.repeats, fingerprint, parent.allowance
+        ):
+            count(board, "repeats_refused", call.service)
+            raise CallRefused(
+                "retries-spent", 503, "do not repeat; the retries are used up"
+            )
+        lent = lend(parent.allowance)
+        call.allowance = open_allowance(lent)
+    answer = refuse_early(board, call, call.service)
+    if answer is None:
+        answer = await run_call(board, call)
+        learn_acceptance(board, call, call.service, answer)
+    if parent is not None:
+        settle(parent.allowance, lent, call.allowance.left)
+        finish_repeat(parent.repeats, fingerprint, answer.outcome is Outcome.WHOLE)
+        parent.outgoing_failed |= answer.outcome is not Outcome.WHOLE
+        parent.outgoing_refused |= answer.reason in LOAD_REASONS
+    return answer
+
+
+async def handle_call(board, request, receive):
+    """Carry a call with one of the ``receive_`` functions and send its answer."""
+    board.open_requests += 1
+    call = None
+    try:
+        try:
+            answer, call = await receive(board, request)
+        except CallRefused as error:
+            answer = answer_refusal(error.refusal)
+        except BodyTooLarge:
+            answer = answer_refusal(
+                Refusal("body-too-large", 413, "send a smaller body")
+            )
+        except BodyTooSlow:
+            answer = answer_refusal(
+                Refusal("body-too-slow", 408, "send the body without long pauses")
+            )
+        except BodyCutShort:
+            answer = answer_refusal(
+                Refusal("body-cut-short", 400, "send the whole announced body")
+            )
+        count(board, "answers", f"{answer.outcome.value}/{answer.reason}")
+        if answer.outcome is not Outcome.WHOLE:
+            record_event(
+                "call-not-whole",
+                call=call.call_id if call else "",
+                outcome=answer.outcome.value,
+                reason=answer.reason,
+            )
+        return await send_answer(request, answer, make_hop_headers(board, call, answer))
+    finally:
+        board.open_requests -= 1
+
+
+def make_hop_headers(board, call, answer):
+    """Return the headers that only daemons read; ``()`` towards others."""
+    if call is None or answer is None or call.depth is None:
+        return ()
+    headers = [(LOAD_HEADER, format_load(report_load(board.admission)))]
+    if call.allowance is not None:
+        headers.append((RETRIES_HEADER, str(call.allowance.left)))
+    if answer.deeper or call.outgoing_failed:
+        headers.append((CAUSE_HEADER, "deeper"))
+    return headers
+
+
+async def send_answer(request, answer, extra=()):
+    """Send an answer; a truncated body closes the connection without an end."""
+    headers = [*answer.headers, *label_answer(answer), *extra]
+    if answer.body is not None:
+        response = web.Response(status=answer.status, body=answer.body)
+        fill_headers(response, headers, skip="content-length")
+        close_answer(answer, whole=True)
+        await response.prepare(request)
+        await response.write_eof()
+        return response
+    response = web.StreamResponse(status=answer.status)
+    fill_headers(response, headers)
+    whole = False
+    try:
+        await response.prepare(request)
+        async for chunk in answer.response.content.iter_any():
+            await response.write(chunk)
+        whole = True
+        await response.write_eof()
+    except Exception as error:
+        # The final chunk must not be sent, so that the caller sees the cut.
+        record_event("answer-cut-short", path=request.path, error=repr(error))
+        if request.transport is not None:
+            request.transport.abort()
+        raise ConnectionResetError("answer cut short") from error
+    finally:
+        close_answer(answer, whole)
+    return response
+
+
+def fill_headers(response, headers, skip=""):
+    """Add headers to a response, keeping repeated ones."""
+    for name, value in headers:
+        if name.lower() != skip:
+            response.headers.add(name, value)
--- /dev/null
+++ b/egretlift/daemon/zone.py
@@ -0,0 +1,346 @@
+"""The zone lease and the zone's part of each organisation's rate."""
+
+import json
+import math
+import time
+
+import anyio
+
+from egretlift.blackboard import count
+from egretlift.configuration import find_quota
+from egretlift.errors import ConflictError, EgretliftError
+from egretlift.events import record_event
+from egretlift.quotas import (
+    LeaseState,
+    ZoneShares,
+    expire_grants,
+    is_within,
+    may_hold,
+    record_confirmation,
+    resize_allocator,
+    start_allocator,
+    zone_lease,
+    zone_shares,
+)
+from egretlift.transport.control import ControlFailed, call_control
+from egretlift.transport.generated import control_pb2 as pb
+
+TICK_S = 0.1
+
+
+def my_lease(board):
+    """Return this host's view of its own zone's lease."""
+    return board.leases[board.settings.zone]
+
+
+def open_lease(board, zone):
+    """Return the view of a zone's lease, opened if needed."""
+    lease = board.leases.get(zone)
+    if lease is None:
+        lease = board.leases[zone] = LeaseState(
+            zone, board.settings.host, board.incarnation, time.monotonic()
+        )
+    return lease
+
+
+def adopt_lease(board, item, now, sent_at=None):
+    """Take over a zone lease object read from the platform."""
+    lease = open_lease(board, item["name"])
+    sent_at = now if sent_at is None else sent_at
+    if item["revision"] > lease.version:
+        board.lease_specs[item["name"]] = item["spec"]
+    zone_lease.observe_lease(
+        lease, board.settings, now, sent_at, item["revision"], item["spec"]
+    )
+    follow_epoch(board)
+
+
+def adopt_gossiped_lease(board, message):
+    """Take over a zone lease that another daemon has seen."""
+    if message.zone != board.settings.zone:
+        return
+    if message.version <= my_lease(board).version:
+        return
+    item = {
+        "name": message.zone,
+        "revision": message.version,
+        "spec": json.loads(message.spec_json),
+    }
+    # A peer's news says nothing about when the platform was read.
+    adopt_lease(board, item, time.monotonic(), -math.inf)
+
+
+def is_watcher(board):
+    """Return whether this host watches the platform for its zone."""
+    lease = my_lease(board)
+    me = (board.settings.host, board.incarnation)
+    holds = lease.held_epoch > 0
+    named = (lease.lease.holder, lease.lease.incarnation) == me
+    return holds or named or me in lease.lease.standbys or lease.version == 0
+
+
+def follow_epoch(board):
+    """Start empty allocators when this host begins to hold in a new epoch."""
+    lease = my_lease(board)
+    if lease.held_epoch == board.allocator_epoch:
+        return
+    board.allocator_epoch = lease.held_epoch
+    board.allocators = {}
+    board.zone_shares = {}
+    if lease.held_epoch:
+        wait_s = zone_lease.quarantine_s(lease, board.settings)
+        board.quarantine_until = time.monotonic() + wait_s
+        board.shares_listed = False
+        record_event("zone-lease-held", zone=lease.zone, epoch=lease.held_epoch)
+    else:
+        record_event("zone-lease-lost", zone=lease.zone)
+
+
+def answer_question(board, question):
+    """Answer the holder's question whether the platform is out for all."""
+    confirmed = question.zone == board.settings.zone and zone_lease.confirm_lease(
+        my_lease(board),
+        board.settings,
+        time.monotonic(),
+        question.holder,
+        question.incarnation,
+        question.epoch,
+    )
+    return pb.LeaseConfirmation(confirmed=confirmed, epoch=question.epoch)
+
+
+def list_standbys(board):
+    """Return (host, incarnation) of the zone's hosts fit to be standbys."""
+    settings = board.settings
+    current = {host for host, _ in my_lease(board).lease.standbys}
+    found = [
+        member
+        for member in board.members.members.values()
+        if member.zone == settings.zone
+        and member.status == "alive"
+        and member.host != settings.host
+    ]
+    found.sort(key=lambda member: (member.host not in current, member.host))
+    chosen = found[: settings.zone_standbys]
+    return [(member.host, member.incarnation) for member in chosen]
+
+
+async def write_lease(board, spec, version, sent_at):
+    """Carry out a planned write of the zone lease and report its result."""
+    lease, settings = my_lease(board), board.settings
+    count(board, "platform_calls", "zone-lease")
+    try:
+        item = await board.platform.put_object(
+            "zone-lease", settings.zone, spec, version
+        )
+    except ConflictError as error:
+        zone_lease.record_platform(lease, True)
+        if error.current is not None:
+            adopt_lease(board, error.current, time.monotonic(), sent_at)
+        return
+    except EgretliftError:
+        zone_lease.record_platform(lease, False)
+        return
+    zone_lease.record_platform(lease, True)
+    board.lease_specs[settings.zone] = item["spec"]
+    zone_lease.record_written(
+        lease, settings, time.monotonic(), sent_at, item["revision"]
+    )
+    follow_epoch(board)
+    board.kick_gossip.set()
+
+
+async def keep_zone_lease(board):
+    """Renew or take over the zone lease for as long as the daemon runs."""
+    board.tasks.start_soon(confirm_zone_lease, board)
+    board.tasks.start_soon(keep_zone_shares, board)
+    lease, settings = my_lease(board), board.settings
+    # Read before the first write, so that an existing lease is respected.
+    await anyio.sleep(settings.gossip_period_s * board.random.uniform(0.2, 0.6))
+    while True:
+        await anyio.sleep(TICK_S)
+        now = time.monotonic()
+        write = zone_lease.plan_write(lease, settings, now, list_standbys(board))
+        follow_epoch(board)
+        if write is not None:
+            await write_lease(board, *write, now)
+
+
+async def confirm_zone_lease(board):
+    """Ask the standbys to confirm while the platform does not answer the holder."""
+    settings, lease = board.settings, my_lease(board)
+    while True:
+        await anyio.sleep(settings.zone_lease_s / 10)
+        late = time.monotonic() - lease.renewed_at > settings.zone_lease_renewal_s
+        if not lease.held_epoch or not late:
+            continue
+        async with anyio.create_task_group() as tasks:
+            for standby in zone_lease.required_standbys(lease) or ():
+                tasks.start_soon(ask_standby, board, standby)
+
+
+async def ask_standby(board, standby):
+    """Ask one standby for its confirmation."""
+    settings, lease = board.settings, my_lease(board)
+    member = board.members.members.get(standby[0])
+    if member is None or member.incarnation != standby[1]:
+        return
+    epoch, asked_at = lease.held_epoch, time.monotonic()
+    request = pb.GossipRequest(
+        question=pb.LeaseQuestion(
+            zone=lease.zone,
+            holder=settings.host,
+            incarnation=board.incarnation,
+            epoch=epoch,
+        )
+    )
+    from egretlift.daemon.gossip import make_gossip
+
+    whole = make_gossip(board)
+    whole.question.CopyFrom(request.question)
+    try:
+        reply = await call_control(
+            board.channels,
+            settings.mesh_secret,
+            (member.address, member.control_port),
+            "Gossip",
+            whole,
+            settings.gossip_timeout_s,
+        )
+    except ControlFailed:
+        return
+    if reply.confirmation.confirmed and epoch:
+        record_confirmation(
+            lease, settings, time.monotonic(), asked_at, standby, epoch
+        )
+
+
+async def release_zone_lease(board):
+    """Release the zone lease at a planned stop, so that a standby takes over."""
+    lease, settings = my_lease(board), board.settings
+    if not lease.held_epoch:
+        return
+    zone_lease.stop_holding(lease)
+    now = time.monotonic()
+    write = zone_lease.plan_write(lease, settings, now)
+    if write is None:
+        return
+    with anyio.move_on_after(2 * settings.platform_timeout_s):
+        await write_lease(board, *write, now)
+    record_event("zone-lease-released", zone=lease.zone)
+
+
+def find_allocator(board, organisation, now):
+    """Return the allocator of an organisation, opened empty if needed.
+
+    Returns
+    -------
+    Allocator or None
+        None for an organisation that is not configured.
+    """
+    allocator = board.allocators.get(organisation)
+    if allocator is None and find_quota(board.catalog, organisation) is not None:
+        wait_s = max(0.0, board.quarantine_until - now)
+        allocator = start_allocator(
+            organisation, board.allocator_epoch, now, 0.0, 0.0, wait_s
+        )
+        board.allocators[organisation] = allocator
+        shares = ZoneShares(organisation, board.settings.zone, board.allocator_epoch)
+        board.zone_shares[organisation] = shares
+        known = board.share_objects.get(organisation)
+        if known is not None:
+            zone_shares.observe_shares(shares, *known)
+        fit_allocator(board, allocator, now)
+    return allocator
+
+
+def adopt_zone_share(board, item, now):
+    """Take over a zone share object read from the platform."""
+    version, name = item["revision"], item["name"]
+    known = board.share_objects.get(name)
+    if known is None or version > known[0]:
+        board.share_objects[name] = (version, item["spec"])
+    state = board.zone_shares.get(name)
+    if state is not None:
+        zone_shares.observe_shares(state, version, item["spec"])
+        fit_allocator(board, board.allocators[name], now)
+
+
+def fit_allocator(board, allocator, now):
+    """Give an allocator the zone's part of the organisation's current quota."""
+    quota = find_quota(board.catalog, allocator.organisation)
+    state = board.zone_shares[allocator.organisation]
+    usable = zone_shares.usable_share(state) if quota else 0
+    rate, burst = (quota.rate, quota.burst) if quota else (0.0, 0.0)
+    part = zone_shares.zone_part(usable, rate, burst)
+    if part != (allocator.rate, allocator.burst):
+        resize_allocator(allocator, now, *part)
+    return rate, burst, part
+
+
+def plan_share_write(board, allocator, now):
+    """Return the next write of an organisation's zone shares, or None."""
+    settings = board.settings
+    state = board.zone_shares[allocator.organisation]
+    expire_grants(allocator, settings, now)
+    rate, burst, _ = fit_allocator(board, allocator, now)
+    if rate <= 0:
+        return None
+    zone_shares.plan_transfer(state, allocator.demand, rate, burst)
+    _, _, part = fit_allocator(board, allocator, now)
+    within = is_within(allocator, settings, *part)
+    lost = [
+        zone
+        for zone, lease in board.leases.items()
+        if zone != settings.zone and zone_lease.is_lost(lease, settings)
+    ]
+    return zone_shares.plan_reclaim(state, now, lost) or zone_shares.plan_write(
+        state, settings, now, allocator.demand, rate, burst, within
+    )
+
+
+async def write_share(board, organisation, spec, version):
+    """Carry out a planned write of zone shares."""
+    count(board, "platform_calls", "zone-share")
+    try:
+        item = await board.platform.put_object(
+            "zone-share", organisation, spec, version
+        )
+    except ConflictError as error:
+        item = error.current
+    except EgretliftError:
+        return
+    finally:
+        board.share_writes.discard(organisation)
+    if item is not None:
+        adopt_zone_share(board, item, time.monotonic())
+
+
+async def keep_zone_shares(board):
+    """Adjust the zone's part of each rate while this host holds the lease."""
+    settings = board.settings
+    while True:
+        await anyio.sleep(TICK_S)
+        now = time.monotonic()
+        if not may_hold(my_lease(board), settings, now):
+            continue
+        for organisation, allocator in list(board.allocators.items()):
+            if organisation in board.share_writes:
+                continue
+            write = plan_share_write(board, allocator, now)
+            if write is not None:
+                board.share_writes.add(organisation)
+                board.tasks.start_soon(write_share, board, organisation, *write)
+
+
+def describe_zone_lease(board):
+    """Return the zone lease for the state page."""
+    state, settings = my_lease(board), board.settings
+    return {
+        "zone": state.zone,
+        "holder": state.lease.holder,
+        "epoch": state.lease.epoch,
+        "standbys": [host for host, _ in state.lease.standbys],
+        "held": may_hold(state, settings, time.monotonic()),
+        "version": state.version,
+    }
--- /dev/null
+++ b/egretlift/transport/__init__.py
@@ -0,0 +1,6 @@
+"""Edges towards callers, upstreams and other daemons.
+
+See Also
+--------
+egretlift.daemon : The controllers that use these edges.
+"""
--- /dev/null
+++ b/egretlift/transport/codec.py
@@ -0,0 +1,116 @@
+"""Conversion between state and the protobuf messages of the control port."""
+
+import json
+
+from egretlift.configuration import decode_object, encode_object
+from egretlift.errors import ObjectInvalid
+from egretlift.membership import Member, decode_member
+from egretlift.quotas import Allocation, AllocationRequest
+from egretlift.transport.generated import control_pb2 as pb
+
+MEMBER_FIELDS = tuple(name for name in Member.__slots__ if name != "routes")
+REQUEST_FIELDS = (
+    "epoch",
+    "number",
+    "demand",
+    "rate",
+    "burst",
+    "tokens",
+    "returned",
+    "urgent",
+)
+ANSWER_FIELDS = ("epoch", "number", "rate", "burst", "tokens", "lease_s")
+
+
+def pack_member(member):
+    """Return the message of a member record."""
+    message = pb.Member(**{name: getattr(member, name) for name in MEMBER_FIELDS})
+    for method, prefix, profile in member.routes:
+        message.routes.add(method=method, prefix=prefix, profile=profile)
+    return message
+
+
+def unpack_members(messages):
+    """Return the member records in messages, leaving out malformed ones."""
+    members = []
+    for message in messages:
+        item = {name: getattr(message, name) for name in MEMBER_FIELDS}
+        item["routes"] = [
+            (route.method, route.prefix, route.profile) for route in message.routes
+        ]
+        try:
+            members.append(decode_member(item))
+        except ObjectInvalid:
+            continue
+    return members
+
+
+def pack_object(item):
+    """Return the message of a configuration object."""
+    encoded = encode_object(item)
+    return pb.ConfigurationObject(
+        kind=item.kind,
+        name=item.name,
+        revision=item.revision,
+        withdrawn=item.withdrawn,
+        spec_json=json.dumps(encoded["spec"]),
+    )
+
+
+def unpack_objects(messages):
+    """Return the configuration objects in messages, leaving out malformed ones."""
+    objects = []
+    for message in messages:
+        try:
+            spec = json.loads(message.spec_json)
+            item = {
+                "kind": message.kind,
+                "name": message.name,
+                "revision": message.revision,
+                "spec": spec,
+            }
+            objects.append(decode_object(item))
+        except (ValueError, ObjectInvalid):
+            continue
+    return objects
+
+
+def pack_request(request):
+    """Return the message of an allocation request."""
+    return pb.AllocateRequest(
+        host=request.host,
+        incarnation=request.incarnation,
+        organisation=request.organisation,
+        **{name: getattr(request, name) for name in REQUEST_FIELDS},
+    )
+
+
+def unpack_request(message):
+    """Return the allocation request in a message."""
+    return AllocationRequest(
+        message.host,
+        message.incarnation,
+        message.organisation,
+        **{name: getattr(message, name) for name in REQUEST_FIELDS},
+    )
+
+
+def pack_allocation(allocation):
+    """Return the message of an allocation."""
+    return pb.AllocateReply(
+        **{name: getattr(allocation, name) for name in ANSWER_FIELDS}
+    )
+
+
+def unpack_allocation(request, message):
+    """Return the allocation in the reply to a request."""
+    allocation = Allocation(
+        request,
+        message.epoch,
+        message.rate,
+        message.burst,
+        message.tokens,
+        message.lease_s,
+    )
+    allocation.number = message.number
+    return allocation
--- /dev/null
+++ b/egretlift/transport/control.py
@@ -0,0 +1,131 @@
+"""Control messages between daemons over gRPC.
+
+Errors of a control call are all raised as ``ControlFailed``, since the caller
+can do no more than try another daemon or wait for the next period.
+"""
+
+import hashlib
+import hmac
+
+import anyio
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+
+from egretlift.errors import EgretliftError
+from egretlift.transport.generated.control_grpc import ControlBase, ControlStub
+
+TOKEN_METADATA = "egretlift-token"
+# Channels beyond this number are closed, oldest first, to bound memory.
+CHANNELS_KEPT = 64
+FAILURES = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
+
+
+class ControlFailed(EgretliftError):
+    """Another daemon did not answer a control message."""
+
+
+def make_token(secret):
+    """Return the token that proves knowledge of the mesh secret."""
+    return hmac.new(secret.encode(), b"egretlift control", hashlib.sha256).hexdigest()
+
+
+class ControlHandlers(ControlBase):
+    """Passes each control message to a coroutine function.
+
+    Parameters
+    ----------
+    secret : str
+        Mesh secret that every request must prove to know.
+    gossip, probe, allocate : coroutine functions
+        Each takes a request message and returns a reply message.
+    """
+
+    __slots__ = ("allocate", "gossip", "probe", "token")
+
+    def __init__(self, secret, gossip, probe, allocate):
+        self.token = make_token(secret)
+        self.gossip = gossip
+        self.probe = probe
+        self.allocate = allocate
+
+    async def _answer(self, stream, handle):
+        token = str(stream.metadata.get(TOKEN_METADATA, ""))
+        if not hmac.compare_digest(token, self.token):
+            raise GRPCError(
+                Status.UNAUTHENTICATED, "set the same mesh-secret on all hosts"
+            )
+        request = await stream.recv_message()
+        await stream.send_message(await handle(request))
+
+    async def Gossip(self, stream):  # noqa: N802
+        """Answer a gossip exchange."""
+        await self._answer(stream, self.gossip)
+
+    async def Probe(self, stream):  # noqa: N802
+        """Answer a request to probe another daemon."""
+        await self._answer(stream, self.probe)
+
+    async def Allocate(self, stream):  # noqa: N802
+        """Answer a request for a share of a rate."""
+        await self._answer(stream, self.allocate)
+
+
+async def serve_control(handlers, address, port):
+    """Start the control server and return it."""
+    server = Server([handlers])
+    await server.start(address, port)
+    return server
+
+
+async def close_control(server):
+    """Stop the control server."""
+    server.close()
+    await server.wait_closed()
+
+
+async def call_control(channels, secret, endpoint, name, request, timeout_s):
+    """Send a control message and return the reply.
+
+    Parameters
+    ----------
+    channels : dict
+        Open channels by endpoint; changed in place.
+    secret : str
+    endpoint : tuple of (str, int)
+        Address and control port.
+    name : str
+        ``Gossip``, ``Probe`` or ``Allocate``.
+    request : protobuf message
+    timeout_s : float
+
+    Raises
+    ------
+    ControlFailed
+    """
+    channel = channels.pop(endpoint, None) or Channel(*endpoint)
+    channels[endpoint] = channel
+    while len(channels) > CHANNELS_KEPT:
+        channels.pop(next(iter(channels))).close()
+    try:
+        with anyio.fail_after(timeout_s):
+            method = getattr(ControlStub(channel), name)
+            return await method(request, metadata={TOKEN_METADATA: make_token(secret)})
+    except FAILURES as error:
+        # A connection through which messages get lost one way would otherwise
+        # be used again for ever.
+        if channels.get(endpoint) is channel:
+            del channels[endpoint]
+        channel.close()
+        raise ControlFailed(
+            f"{name} to {endpoint[0]}:{endpoint[1]} failed ({type(error).__name__})",
+            "check the host and the network; it is tried again",
+        ) from error
+
+
+def close_channels(channels):
+    """Close all channels."""
+    for channel in channels.values():
+        channel.close()
+    channels.clear()
