Add organisation keys and the signed call context

Cause: the context must pass between daemons without being forged, on the path of every call. Change: egretlift/identity with keys, context and message signatures (HMAC-SHA256 over the encoded payload, a label per use).

--- /dev/null
+++ b/egretlift/identity/__init__.py
@@ -0,0 +1,27 @@
+"""Organisation keys and the signed context of a call.
+
+Examples
+--------
+>>> from egretlift.identity import digest_key, generate_key
+>>> len(digest_key(generate_key("northlight", bytes(32))))
+64
+"""
+
+from egretlift.identity.context import (
+    CallContext,
+    sign_context,
+    sign_message,
+    verify_context,
+    verify_message,
+)
+from egretlift.identity.keys import digest_key, generate_key
+
+__all__ = [
+    "CallContext",
+    "digest_key",
+    "generate_key",
+    "sign_context",
+    "sign_message",
+    "verify_context",
+    "verify_message",
+]
--- /dev/null
+++ b/egretlift/identity/context.py
@@ -0,0 +1,235 @@
+"""Context of a call, signed between daemons with the mesh secret.
+
+The text is ``payload.signature``, both in URL-safe base64. The signature covers
+the encoded payload and is compared in its encoded form, so every changed
+character is found; comparing decoded bytes would accept other spellings of the
+last character. Labels keep a signature made for one use from passing for another.
+"""
+
+import base64
+import binascii
+import hmac
+import json
+
+from egretlift.errors import ContextForged
+from egretlift.outcome import Priority
+
+CONTEXT_LABEL = b"context\0"
+MESSAGE_LABEL = b"message\0"
+PRIORITIES = tuple(Priority)
+# Reused, because json.dumps with separators builds an encoder for every call.
+ENCODE = json.JSONEncoder(separators=(",", ":")).encode
+DECODE = json.JSONDecoder().decode
+REMEDY = "check that all daemons have the same mesh secret and version"
+
+
+class CallContext:
+    """What one daemon tells the next about a call.
+
+    Parameters
+    ----------
+    call_id : str
+        Identifier of the call in logs.
+    organisation : str or None
+        Organisation whose key came with the call; None on open routes.
+    priority : Priority
+        Priority of the entry call.
+    remaining_s : float
+        Seconds until the deadline at the time of signing.
+    retries : int
+        Retry allowance lent with the call.
+    depth : int
+        Number of services above this call; 0 for the caller's own call.
+    identifier : str or None
+        Identifier of an at-most-once call.
+    origin_host : str
+        Host whose daemon signed the context.
+    entry : str
+        Host at which the caller's request entered the mesh.
+    """
+
+    __slots__ = (
+        "call_id",
+        "organisation",
+        "priority",
+        "remaining_s",
+        "retries",
+        "depth",
+        "identifier",
+        "origin_host",
+        "entry",
+    )
+
+    def __init__(
+        self,
+        call_id,
+        organisation,
+        priority,
+        remaining_s,
+        retries,
+        depth,
+        identifier,
+        origin_host,
+        entry,
+    ):
+        self.call_id = call_id
+        self.organisation = organisation
+        self.priority = priority
+        self.remaining_s = remaining_s
+        self.retries = retries
+        self.depth = depth
+        self.identifier = identifier
+        self.origin_host = origin_host
+        self.entry = entry
+
+    def __repr__(self):
+        return f"CallContext({list_fields(self)!r})"
+
+
+def list_fields(context):
+    """Return the fields of a context in the order of the payload."""
+    return [
+        context.call_id,
+        context.organisation,
+        int(context.priority),
+        context.remaining_s,
+        context.retries,
+        context.depth,
+        context.identifier,
+        context.origin_host,
+        context.entry,
+    ]
+
+
+def compute_signature(secret, label, data):
+    """Return the HMAC-SHA256 of labelled data as URL-safe base64 bytes."""
+    code = hmac.digest(secret.encode(), label + data, "sha256")
+    return base64.urlsafe_b64encode(code)
+
+
+def sign_context(secret, context):
+    """Return a context as signed text fit for a header.
+
+    Parameters
+    ----------
+    secret : str
+        Mesh secret.
+    context : CallContext
+
+    Returns
+    -------
+    str
+
+    See Also
+    --------
+    verify_context : The inverse.
+
+    Examples
+    --------
+    >>> context = CallContext("c1", None, Priority.CRITICAL, 1.5, 2, 0, None, "a", "a")
+    >>> verify_context("s" * 16, sign_context("s" * 16, context)).remaining_s
+    1.5
+    """
+    payload = base64.urlsafe_b64encode(ENCODE(list_fields(context)).encode())
+    return (payload + b"." + compute_signature(secret, CONTEXT_LABEL, payload)).decode()
+
+
+def verify_context(secret, text):
+    """Return the context in a signed text.
+
+    Parameters
+    ----------
+    secret : str
+        Mesh secret.
+    text : str
+        Value of the context header.
+
+    Returns
+    -------
+    CallContext
+
+    Raises
+    ------
+    ContextForged
+        If the text was not made by ``sign_context`` with this secret. No other
+        error is raised, whatever the text is.
+    """
+    try:
+        payload, _, signature = text.encode("ascii").partition(b".")
+    except (UnicodeEncodeError, AttributeError, TypeError):
+        raise ContextForged("call context is not ASCII text", REMEDY) from None
+    if not hmac.compare_digest(
+        signature, compute_signature(secret, CONTEXT_LABEL, payload)
+    ):
+        raise ContextForged("call context has a wrong signature", REMEDY)
+    try:
+        fields = DECODE(base64.urlsafe_b64decode(payload).decode())
+    except (binascii.Error, ValueError, RecursionError):
+        raise ContextForged("call context is not JSON", REMEDY) from None
+    return read_fields(fields)
+
+
+def read_fields(fields):
+    """Return a context from the list in a payload."""
+    if type(fields) is not list or len(fields) != 9 or not check_fields(*fields):
+        raise ContextForged("call context has unexpected fields", REMEDY)
+    fields[2] = PRIORITIES[fields[2]]
+    return CallContext(*fields)
+
+
+def check_fields(
+    call_id,
+    organisation,
+    priority,
+    remaining_s,
+    retries,
+    depth,
+    identifier,
+    origin_host,
+    entry,
+):
+    """Return whether all values have the types and ranges of a context."""
+    return (
+        type(call_id) is type(origin_host) is type(entry) is str
+        and (organisation is None or type(organisation) is str)
+        and (identifier is None or type(identifier) is str)
+        and type(priority) is type(retries) is type(depth) is int
+        and 0 <= priority < len(PRIORITIES)
+        and retries >= 0
+        and depth >= 0
+        and type(remaining_s) in (int, float)
+        # A NaN or an infinite time would disable every later deadline check.
+        and -1e9 < remaining_s < 1e9
+    )
+
+
+def sign_message(secret, data):
+    """Return the signature of a message between daemons, for gRPC metadata.
+
+    Parameters
+    ----------
+    secret : str
+        Mesh secret.
+    data : bytes
+        The serialised message.
+
+    Returns
+    -------
+    str
+        URL-safe text.
+
+    Examples
+    --------
+    >>> token = sign_message("s" * 16, b"gossip")
+    >>> verify_message("s" * 16, b"gossip", token)
+    True
+    """
+    return compute_signature(secret, MESSAGE_LABEL, data).decode()
+
+
+def verify_message(secret, data, text):
+    """Return whether a text is the signature of the data; no text raises an error."""
+    if not isinstance(text, str) or not text.isascii():
+        return False
+    expected = compute_signature(secret, MESSAGE_LABEL, data)
+    return hmac.compare_digest(text.encode(), expected)
--- /dev/null
+++ b/egretlift/identity/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of keys and signed contexts."""
--- /dev/null
+++ b/egretlift/identity/tests/test_identity.py
@@ -0,0 +1,109 @@
+"""Tests of keys and signed contexts."""
+
+import base64
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from egretlift.errors import ContextForged
+from egretlift.identity import (
+    CallContext,
+    digest_key,
+    generate_key,
+    sign_context,
+    sign_message,
+    verify_context,
+    verify_message,
+)
+from egretlift.identity.context import CONTEXT_LABEL, compute_signature, list_fields
+from egretlift.outcome import Priority
+
+SECRET = "0123456789abcdef"
+CONTEXTS = st.builds(
+    CallContext,
+    call_id=st.text(),
+    organisation=st.none() | st.text(),
+    priority=st.sampled_from(Priority),
+    remaining_s=st.floats(-1e6, 1e6),
+    retries=st.integers(0, 10),
+    depth=st.integers(0, 20),
+    identifier=st.none() | st.text(),
+    origin_host=st.text(),
+    entry=st.text(),
+)
+GOOD = ["c", None, 0, 1.0, 2, 0, None, "a", "a"]
+
+
+class TestContext(unittest.TestCase):
+    """Guards against contexts that are altered, forged or lost on the way."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(CONTEXTS)
+    def test_round_trip(self, context):
+        text = sign_context(SECRET, context)
+        self.assertTrue(text.isascii() and text.isprintable())
+        read = verify_context(SECRET, text)
+        self.assertEqual(list_fields(read), list_fields(context))
+        self.assertIsInstance(read.priority, Priority)
+
+    @settings(derandomize=True, deadline=None)
+    @given(CONTEXTS, st.data())
+    def test_every_flipped_bit_is_found(self, context, data):
+        text = bytearray(sign_context(SECRET, context).encode())
+        place = data.draw(st.integers(0, len(text) * 8 - 1))
+        text[place // 8] ^= 1 << place % 8
+        with self.assertRaises(ContextForged):
+            verify_context(SECRET, text.decode("latin-1"))
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.text() | st.binary() | st.none())
+    def test_any_other_input_is_forged(self, text):
+        with self.assertRaises(ContextForged):
+            verify_context(SECRET, text)
+
+    def test_other_secret(self):
+        text = sign_context(SECRET, CallContext(*GOOD))
+        with self.assertRaises(ContextForged):
+            verify_context("another secret..", text)
+
+    @params(
+        {},
+        GOOD[:8],
+        [*GOOD[:2], 3, *GOOD[3:]],
+        [*GOOD[:2], True, *GOOD[3:]],
+        [*GOOD[:3], float("nan"), *GOOD[4:]],
+        [*GOOD[:3], float("inf"), *GOOD[4:]],
+        [*GOOD[:4], -1, *GOOD[5:]],
+        [*GOOD[:8], None],
+    )
+    def test_signed_payload_of_wrong_shape(self, fields):
+        payload = base64.urlsafe_b64encode(json.dumps(fields).encode())
+        signature = compute_signature(SECRET, CONTEXT_LABEL, payload)
+        with self.assertRaises(ContextForged):
+            verify_context(SECRET, (payload + b"." + signature).decode())
+
+    def test_message_signature_is_bound_to_its_use(self):
+        token = sign_message(SECRET, b"payload")
+        self.assertTrue(verify_message(SECRET, b"payload", token))
+        for data, text in ((b"other", token), (b"payload", "é"), (b"payload", None)):
+            self.assertFalse(verify_message(SECRET, data, text))
+        with self.assertRaises(ContextForged):
+            verify_context(SECRET, "payload." + token)
+
+
+class TestKeys(unittest.TestCase):
+    """Guards against guessable keys and headers that break the digest."""
+
+    def test_key(self):
+        key = generate_key("northlight", bytes(range(32)))
+        self.assertTrue(key.startswith("northlight."))
+        self.assertNotEqual(digest_key(key), digest_key(key + "x"))
+        self.assertEqual(len(digest_key("\udcff")), 64)
+
+    @params(0, 16, 33)
+    def test_wrong_number_of_random_bytes(self, count):
+        with self.assertRaises(ValueError):
+            generate_key("northlight", bytes(count))
