--- /dev/null
+++ b/egretlift/configuration/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the catalog and its objects."""
--- a/egretlift/errors.py
+++ b/egretlift/errors.py
@@ -59,3 +59,7 @@
 
 class AnnouncementInvalid(EgretliftError):
     """An upstream's announcement has an invalid value."""
+
+
+class ObjectInvalid(EgretliftError):
+    """An object received from the platform or a peer is malformed."""
