Add the member table, gossip selection and upstream routes

Cause: there is no list of upstreams; hosts learn of each other by gossip and of routes by announcement. Change: egretlift/membership; SWIM-style table with an incremental digest, refutation, retention with a memory of dropped records, and route matching that refuses ambiguous paths, since an upstream may resolve them to another route.

--- /dev/null
+++ b/egretlift/membership/__init__.py
@@ -0,0 +1,54 @@
+"""Members of the mesh, their gossip, and the routes that upstreams announce.
+
+Examples
+--------
+>>> from egretlift.membership import match_route
+>>> match_route([("*", "/", "browse"), ("POST", "/book", "book")], "POST", "/book/7")
+('POST', '/book', 'book')
+"""
+
+from egretlift.membership.routes import (
+    Announcement,
+    match_route,
+    parse_announcement,
+)
+from egretlift.membership.table import (
+    Member,
+    MemberTable,
+    advance_member,
+    decode_member,
+    digest_table,
+    encode_member,
+    expire_suspects,
+    forget_members,
+    hosts_of,
+    members_to_send,
+    merge_members,
+    refute,
+    select_lost_peer,
+    select_peers,
+    select_probe_helpers,
+    suspect_member,
+)
+
+__all__ = [
+    "Announcement",
+    "Member",
+    "MemberTable",
+    "advance_member",
+    "decode_member",
+    "digest_table",
+    "encode_member",
+    "expire_suspects",
+    "forget_members",
+    "hosts_of",
+    "match_route",
+    "members_to_send",
+    "merge_members",
+    "parse_announcement",
+    "refute",
+    "select_lost_peer",
+    "select_peers",
+    "select_probe_helpers",
+    "suspect_member",
+]
--- /dev/null
+++ b/egretlift/membership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the member table and of routes."""
