--- /dev/null
+++ b/egretlift/quotas/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the strict limits on rate and burst."""
