Add the host's share of a rate

Change: Share, AllocationRequest, Allocation; only the answer to the last request is applied, once; a host reduces itself before it states less.

--- /dev/null
+++ b/egretlift/quotas/share.py
@@ -0,0 +1,273 @@
+"""A host's leased share of an organisation's rate, burst and tokens.
+
+A share is valid until ``expires_at`` on the host's monotonic clock, which is
+read at each draw. A host has at most one request whose answer it accepts: the
+last one. Earlier, duplicated and reordered answers are ignored, and the tokens
+in them are lost, because the holder cannot know how many of them still fitted.
+"""
+
+import math
+
+from egretlift.quotas.bucket import Bucket, draw, refill, resize
+
+DEMAND_PERIOD_S = 1.0  # a longer average follows a moved demand too late
+IDLE_DEMAND = 0.02  # calls/s; reached about 4 s after a single call
+
+
+class AllocationRequest:
+    """Request of a host to the zone lease holder; states what the host holds now.
+
+    ``rate``, ``burst`` and ``tokens`` are the holding after any reduction by the
+    host itself, ``returned`` the tokens it gave up, ``urgent`` whether a draw
+    failed since the previous request. ``number`` increases with every request of
+    an incarnation. ``epoch`` is that of the share, 0 if there has been none.
+    """
+
+    __slots__ = (
+        "burst",
+        "demand",
+        "epoch",
+        "host",
+        "incarnation",
+        "number",
+        "organisation",
+        "rate",
+        "returned",
+        "tokens",
+        "urgent",
+    )
+
+    def __init__(self, host, incarnation, organisation, **fields):
+        self.host = host
+        self.incarnation = incarnation
+        self.organisation = organisation
+        self.epoch = fields.get("epoch", 0)
+        self.number = fields.get("number", 1)
+        self.demand = fields.get("demand", 0.0)
+        self.rate = fields.get("rate", 0.0)
+        self.burst = fields.get("burst", 0.0)
+        self.tokens = fields.get("tokens", 0.0)
+        self.returned = fields.get("returned", 0.0)
+        self.urgent = fields.get("urgent", False)
+
+
+class Allocation:
+    """Answer to an ``AllocationRequest``.
+
+    ``tokens`` are added to those the host has. ``lease_s`` counts from the moment
+    the host sent the request and is already reduced by the clock drift; 0 means
+    that nothing was allocated and the share stays as it is.
+    """
+
+    __slots__ = (
+        "burst",
+        "epoch",
+        "host",
+        "incarnation",
+        "lease_s",
+        "number",
+        "organisation",
+        "rate",
+        "tokens",
+    )
+
+    def __init__(self, request, epoch, rate=0.0, burst=0.0, tokens=0.0, lease_s=0.0):
+        self.organisation = request.organisation
+        self.host = request.host
+        self.incarnation = request.incarnation
+        self.number = request.number
+        self.epoch = epoch
+        self.rate = rate
+        self.burst = burst
+        self.tokens = tokens
+        self.lease_s = lease_s
+
+
+class Share:
+    """Share of one organisation on one host; starts empty and expired."""
+
+    __slots__ = (
+        "answered",
+        "bucket",
+        "demand",
+        "demand_at",
+        "epoch",
+        "expires_at",
+        "host",
+        "incarnation",
+        "number",
+        "organisation",
+        "requested_at",
+        "returned",
+        "urgent",
+    )
+
+    def __init__(self, organisation, host, incarnation, now):
+        self.organisation = organisation
+        self.host = host
+        self.incarnation = incarnation
+        self.bucket = Bucket(0.0, 0.0, now)
+        self.expires_at = now
+        self.epoch = 0
+        self.demand = 0.0
+        self.demand_at = now
+        self.number = 0
+        self.answered = True
+        self.requested_at = -math.inf
+        self.returned = 0.0
+        self.urgent = False
+
+
+def draw_share(share, now, count=1, again=False):
+    """Take tokens from a host's share.
+
+    Parameters
+    ----------
+    share : Share
+    now : float
+        Monotonic seconds of this host, read immediately before.
+    count : int
+        Number of tokens.
+    again : bool
+        True for a further try of the same call, which is not counted as demand.
+
+    Returns
+    -------
+    bool
+        False past the expiry of the share or when tokens are missing.
+    """
+    if not again:
+        elapsed = now - share.demand_at
+        if elapsed > 0:
+            share.demand *= math.exp(-elapsed / DEMAND_PERIOD_S)
+            share.demand_at = now
+        share.demand += count / DEMAND_PERIOD_S
+    if now < share.expires_at and draw(share.bucket, now, count):
+        return True
+    share.urgent = True
+    return False
+
+
+def current_demand(share, now):
+    """Return the average of draws and refusals in calls/s."""
+    elapsed = max(0.0, now - share.demand_at)
+    return share.demand * math.exp(-elapsed / DEMAND_PERIOD_S)
+
+
+def request_due(share, settings, now):
+    """Return whether a request should be sent now.
+
+    Due are renewals, and at once but for a shortest gap a request after a failed
+    draw. An idle host that holds nothing sends none.
+    """
+    elapsed = now - share.requested_at
+    if share.urgent:
+        return elapsed >= share_gap(share, settings)
+    if share.bucket.burst == 0 and current_demand(share, now) < IDLE_DEMAND:
+        return False
+    return elapsed >= settings.share_renewal_s
+
+
+def share_gap(share, settings):
+    """Return the shortest time between two requests in seconds.
+
+    While an answer is outstanding the gap is longer: the next request would make
+    the host ignore an answer that is merely slow.
+    """
+    gap = settings.share_request_gap_s
+    return gap if share.answered else min(4 * gap, settings.share_renewal_s)
+
+
+def clear_share(share, now):
+    """Drop rate, burst and tokens of an expired share; ``peak`` is kept."""
+    bucket = share.bucket
+    bucket.rate = bucket.burst = bucket.tokens = 0.0
+    bucket.updated_at = max(bucket.updated_at, now)
+    share.returned = 0.0
+
+
+def reduce_share(share, demand):
+    """Give up what an idle host holds, or a remainder that cannot be drawn."""
+    bucket = share.bucket
+    if demand < IDLE_DEMAND or (bucket.rate == 0 and bucket.tokens < 1):
+        share.returned += bucket.tokens
+        bucket.rate = bucket.burst = bucket.tokens = 0.0
+
+
+def request_for(share, now):
+    """Return the next request of a share and reduce the share as it states.
+
+    Returns
+    -------
+    AllocationRequest
+        The caller notes ``now`` as the time at which it was sent.
+    """
+    demand = current_demand(share, now)
+    if now >= share.expires_at:
+        clear_share(share, now)
+    refill(share.bucket, now)
+    reduce_share(share, demand)
+    share.number += 1
+    share.answered = False
+    share.requested_at = now
+    share.bucket.peak = share.bucket.tokens
+    request = AllocationRequest(
+        share.host,
+        share.incarnation,
+        share.organisation,
+        epoch=share.epoch,
+        number=share.number,
+        demand=demand,
+        rate=share.bucket.rate,
+        burst=share.bucket.burst,
+        tokens=share.bucket.tokens,
+        returned=share.returned,
+        urgent=share.urgent,
+    )
+    # A lost request loses the returned tokens: stating them twice could credit
+    # them twice.
+    share.returned = 0.0
+    share.urgent = False
+    return request
+
+
+def apply_allocation(share, sent_at, now, allocation):
+    """Take over the answer to the last request.
+
+    Parameters
+    ----------
+    share : Share
+    sent_at : float
+        When the request was sent, on this host's clock.
+    now : float
+        Monotonic seconds.
+    allocation : Allocation
+
+    Returns
+    -------
+    bool
+        False if the answer is not for the last request, was applied before, is of
+        an older epoch, has expired or allocates nothing.
+    """
+    key = (allocation.host, allocation.incarnation, allocation.number)
+    if share.answered or key != (share.host, share.incarnation, share.number):
+        return False
+    share.answered = True
+    expires_at = sent_at + allocation.lease_s
+    if now >= expires_at or allocation.epoch < share.epoch:
+        return False
+    bucket = share.bucket
+    refill(bucket, min(now, share.expires_at))
+    room = max(bucket.burst, allocation.burst)
+    if now >= share.expires_at or allocation.epoch != share.epoch:
+        clear_share(share, now)
+        room = allocation.burst
+    # While the tokens were on their way the bucket may have filled by itself;
+    # both together may not exceed the burst that the holder reserved.
+    added = max(0.0, min(allocation.tokens, room - bucket.peak))
+    refill(bucket, now)
+    bucket.tokens += added
+    share.returned += resize(bucket, now, allocation.rate, allocation.burst)
+    share.expires_at = expires_at
+    share.epoch = allocation.epoch
+    return True
