Add the allocator of a zone

Change: per host the larger of stated and answered is counted until confirmed or lapsed; spare rate fills the holder's bucket and is handed out on request. Doctests pass.

--- /dev/null
+++ b/egretlift/quotas/allocator.py
@@ -0,0 +1,277 @@
+"""Allocation of a zone's rate and burst to its hosts by the zone lease holder.
+
+The holder counts for every host the larger of what the host stated last and what
+was answered to that request, until a later request states less or the grant has
+lapsed. What is not counted is spare: its rate fills the holder's own bucket, from
+which tokens are handed out. At every moment the counted rates and the spare rate
+sum to at most the zone's rate, and the counted bursts and the spare burst to at
+most its burst.
+
+The caller checks ``zone_lease.may_hold`` with the same ``now`` before
+``allocate``, and starts a new allocator for every epoch of the zone lease.
+"""
+
+import math
+
+from egretlift.quotas.bucket import Bucket, refill, resize
+from egretlift.quotas.share import Allocation
+
+HEADROOM = 1.25  # growth of demand between two renewals that needs no request
+RATE_PART = 0.95  # part of the rate granted to hosts; new hosts start with the rest
+BURST_PART = 0.8  # part of the burst granted to hosts
+BURST_EXTRA = 4.0  # calls that a host with little demand may bunch
+
+
+class Grant:
+    """What is counted for one incarnation of a host."""
+
+    __slots__ = ("answer", "burst", "demand", "expires_at", "number", "rate")
+
+    def __init__(self):
+        self.number = -1
+        self.rate = 0.0
+        self.burst = 0.0
+        self.demand = 0.0
+        self.expires_at = math.inf
+        self.answer = None
+
+
+class Allocator:
+    """Allocation of one organisation's share of a zone, for one epoch.
+
+    ``rate`` and ``burst`` are those of the zone. ``granted_rate``,
+    ``granted_burst`` and ``demand`` are sums over ``grants``; ``expire_grants``
+    recomputes them, which also removes rounding errors.
+    """
+
+    __slots__ = (
+        "bucket",
+        "burst",
+        "demand",
+        "epoch",
+        "granted_burst",
+        "granted_rate",
+        "grants",
+        "next_expiry",
+        "opens_at",
+        "organisation",
+        "rate",
+    )
+
+    def __init__(self, organisation, epoch, now, rate, burst, quarantine_s):
+        self.organisation = organisation
+        self.epoch = epoch
+        self.rate = rate
+        self.burst = burst
+        self.bucket = Bucket(0.0, burst, now)
+        self.opens_at = now + quarantine_s
+        self.grants = {}
+        self.granted_rate = 0.0
+        self.granted_burst = 0.0
+        self.demand = 0.0
+        self.next_expiry = math.inf
+
+
+def start_allocator(organisation, epoch, now, rate, burst, quarantine_s):
+    """Return an allocator without grants and with an empty bucket.
+
+    Parameters
+    ----------
+    organisation : str
+    epoch : int
+        Epoch of the zone lease.
+    now : float
+        Monotonic seconds of the holder.
+    rate, burst : float
+        The zone's part of the organisation's rate and burst.
+    quarantine_s : float
+        Time without allocations, after which grants of earlier allocators have
+        lapsed; see ``zone_lease.quarantine_s``.
+    """
+    return Allocator(organisation, epoch, now, rate, burst, quarantine_s)
+
+
+def usable_rate(allocator, settings):
+    """Return the zone's rate that is within the bound on the fastest clock."""
+    return allocator.rate / (1 + settings.clock_drift)
+
+
+def update_spare(allocator, settings, now):
+    """Set rate and burst of the holder's bucket to what is not granted."""
+    rate = usable_rate(allocator, settings) - allocator.granted_rate
+    burst = allocator.burst - allocator.granted_burst
+    resize(allocator.bucket, now, max(0.0, rate), max(0.0, burst))
+
+
+def expire_grants(allocator, settings, now):
+    """Remove lapsed grants; their rate and burst become spare, not their tokens."""
+    refill(allocator.bucket, now)
+    grants = allocator.grants
+    for key in [key for key, grant in grants.items() if now >= grant.expires_at]:
+        del grants[key]
+    values = grants.values()
+    allocator.granted_rate = math.fsum(grant.rate for grant in values)
+    allocator.granted_burst = math.fsum(grant.burst for grant in values)
+    allocator.demand = math.fsum(grant.demand for grant in values)
+    allocator.next_expiry = min((g.expires_at for g in values), default=math.inf)
+    update_spare(allocator, settings, now)
+
+
+def resize_allocator(allocator, now, rate, burst):
+    """Change the zone's rate and burst.
+
+    A decrease first takes what is spare; the hosts give up the rest with their
+    next request or when their grants lapse, see ``is_within``.
+    """
+    spare = allocator.bucket
+    rate_less = max(0.0, allocator.rate - rate)
+    burst = max(0.0, burst)
+    allocator.rate = max(0.0, rate)
+    allocator.burst = burst
+    spare_burst = max(0.0, burst - allocator.granted_burst)
+    # An increase of the spare rate takes effect at the next allocation.
+    resize(spare, now, max(0.0, spare.rate - rate_less), spare_burst)
+
+
+def is_within(allocator, settings, rate, burst):
+    """Return whether grants and the holder's bucket fit into a rate and burst.
+
+    Examples
+    --------
+    >>> from egretlift.settings import Settings
+    >>> allocator = start_allocator("a", 1, 0.0, 10.0, 5.0, 0.0)
+    >>> is_within(allocator, Settings(), 5.0, 2.0)
+    False
+    >>> resize_allocator(allocator, 0.0, 5.0, 2.0)
+    >>> is_within(allocator, Settings(), 5.0, 2.0)
+    True
+    """
+    usable = rate / (1 + settings.clock_drift)
+    return (
+        allocator.rate <= rate
+        and allocator.burst <= burst
+        and allocator.granted_rate <= usable
+        and allocator.granted_burst <= burst
+    )
+
+
+def find_grant(allocator, request):
+    """Return the grant of a request, and rate and burst that the host still has.
+
+    A request without a live grant, or with a share of an earlier epoch, comes from
+    a host whose share has lapsed; what it states is then worth nothing.
+    """
+    key = (request.host, request.incarnation)
+    grant = allocator.grants.get(key)
+    if grant is None:
+        grant = allocator.grants[key] = Grant()
+        return grant, 0.0, 0.0
+    if request.number <= grant.number:
+        return grant, grant.rate, grant.burst
+    if request.epoch != allocator.epoch:
+        return grant, 0.0, 0.0
+    return grant, min(grant.rate, request.rate), min(grant.burst, request.burst)
+
+
+def target_holding(allocator, settings, request):
+    """Return the rate and burst that a host's demand entitles it to."""
+    demand, total = request.demand, max(allocator.demand, request.demand)
+    if demand <= 0:
+        return 0.0, 0.0
+    part = demand / total
+    burst = min(
+        BURST_PART * allocator.burst * part,
+        2 * demand * settings.share_lease_s + BURST_EXTRA,
+    )
+    if burst < 1:
+        # Too little burst for every host to keep a whole token: tokens stay with
+        # the holder and are handed out one by one.
+        return 0.0, 1.0 if request.urgent or request.tokens >= 1 else 0.0
+    limit = RATE_PART * usable_rate(allocator, settings)
+    return min(demand * HEADROOM, limit * part), burst
+
+
+def allocate(allocator, settings, now, request):
+    """Answer a host's request.
+
+    Parameters
+    ----------
+    allocator : Allocator
+    settings : Settings
+        Uses ``share_lease_s`` and ``clock_drift``.
+    now : float
+        Monotonic seconds of the holder.
+    request : AllocationRequest
+
+    Returns
+    -------
+    Allocation
+        With ``lease_s`` 0 if nothing is allocated: in quarantine, for a request
+        that a later one has overtaken, or for a share of a later epoch. A repeated
+        request gets the same answer again.
+
+    Examples
+    --------
+    >>> from egretlift.quotas.share import AllocationRequest
+    >>> from egretlift.settings import Settings
+    >>> allocator = start_allocator("a", 1, 0.0, 101.0, 50.0, 2.02)
+    >>> request = AllocationRequest("h1", 1, "a", demand=10.0, urgent=True)
+    >>> allocate(allocator, Settings(), 1.0, request).lease_s
+    0.0
+    >>> answer = allocate(allocator, Settings(), 3.0, request)
+    >>> answer.rate, answer.burst, answer.lease_s
+    (12.5, 40.0, 1.98)
+    """
+    if now >= allocator.next_expiry:
+        expire_grants(allocator, settings, now)
+    update_spare(allocator, settings, now)
+    if now < allocator.opens_at or request.epoch > allocator.epoch:
+        return Allocation(request, allocator.epoch)
+    grant, rate, burst = find_grant(allocator, request)
+    if request.number <= grant.number:
+        same = request.number == grant.number
+        return grant.answer if same else Allocation(request, allocator.epoch)
+    returned = max(0.0, min(request.returned, grant.burst - burst))
+    record_holding(allocator, grant, rate, burst, request.demand)
+    answer = answer_request(allocator, settings, request, grant, returned)
+    grant.number = request.number
+    grant.answer = answer
+    drift = settings.clock_drift
+    grant.expires_at = now + settings.share_lease_s * (1 + drift)
+    allocator.next_expiry = min(allocator.next_expiry, grant.expires_at)
+    update_spare(allocator, settings, now)
+    return answer
+
+
+def record_holding(allocator, grant, rate, burst, demand):
+    """Count rate, burst and demand for a grant in place of the earlier values."""
+    allocator.granted_rate += rate - grant.rate
+    allocator.granted_burst += burst - grant.burst
+    allocator.demand += demand - grant.demand
+    grant.rate, grant.burst, grant.demand = rate, burst, demand
+
+
+def answer_request(allocator, settings, request, grant, returned):
+    """Return the answer to a request and count it for the grant."""
+    rate, burst = target_holding(allocator, settings, request)
+    others_rate = allocator.granted_rate - grant.rate
+    others_burst = allocator.granted_burst - grant.burst
+    rate = max(0.0, min(rate, usable_rate(allocator, settings) - others_rate))
+    burst = max(0.0, min(burst, allocator.burst - others_burst))
+    if burst < 1:
+        rate = burst = 0.0
+    held = min(request.tokens, grant.burst)
+    rate_held, burst_held = max(rate, grant.rate), max(burst, grant.burst)
+    # Tokens come back before any are handed out; what exceeds the spare burst
+    # after this answer is cut by ``update_spare``.
+    spare = allocator.bucket
+    spare_burst = max(0.0, allocator.burst - others_burst - grant.burst)
+    spare.tokens = min(spare.tokens + returned, spare_burst)
+    tokens = max(0.0, min(spare.tokens, burst - held))
+    if rate == 0 and held + tokens < 1:
+        rate_held, burst_held = grant.rate, grant.burst
+        burst = tokens = 0.0
+    spare.tokens -= tokens
+    record_holding(allocator, grant, rate_held, burst_held, grant.demand)
+    lease_s = settings.share_lease_s * (1 - settings.clock_drift)
+    return Allocation(request, allocator.epoch, rate, burst, tokens, lease_s)
