--- a/egretlift/quotas/__init__.py
+++ b/egretlift/quotas/__init__.py
@@ -1,1 +1,66 @@
-"""Strict limits on an organisation's rate and burst over all hosts and zones."""
+"""Strict limits on an organisation's rate and burst over all hosts and zones.
+
+``share`` is the host's side, ``allocator`` the side of the zone lease holder,
+``zone_lease`` decides who that is, and ``zone_shares`` divides rate and burst
+between zones. All functions are pure: they take the time as an argument and change
+only the state passed to them.
+"""
+
+from egretlift.quotas import zone_lease, zone_shares
+from egretlift.quotas.allocator import (
+    Allocator,
+    allocate,
+    expire_grants,
+    is_within,
+    resize_allocator,
+    start_allocator,
+)
+from egretlift.quotas.bucket import Bucket, draw
+from egretlift.quotas.share import (
+    Allocation,
+    AllocationRequest,
+    Share,
+    apply_allocation,
+    current_demand,
+    draw_share,
+    request_due,
+    request_for,
+)
+from egretlift.quotas.zone_lease import (
+    LeaseState,
+    ZoneLease,
+    confirm_lease,
+    may_hold,
+    may_take_over,
+    record_confirmation,
+)
+from egretlift.quotas.zone_shares import ZoneShares, plan_transfer
+
+__all__ = [
+    "Allocation",
+    "AllocationRequest",
+    "Allocator",
+    "Bucket",
+    "LeaseState",
+    "Share",
+    "ZoneLease",
+    "ZoneShares",
+    "allocate",
+    "apply_allocation",
+    "confirm_lease",
+    "current_demand",
+    "draw",
+    "draw_share",
+    "expire_grants",
+    "is_within",
+    "may_hold",
+    "may_take_over",
+    "plan_transfer",
+    "record_confirmation",
+    "request_due",
+    "request_for",
+    "resize_allocator",
+    "start_allocator",
+    "zone_lease",
+    "zone_shares",
+]
