Add the platform client

The platform loses answers to writes that took effect. Every write carries a random identifier and is conditional, so it can be read back and repeated without replacing a later write; an unconditional write reads the revision first.

--- /dev/null
+++ b/egretlift/platform/client.py
@@ -0,0 +1,378 @@
+"""Calls to the platform's object API.
+
+Every write is conditional and carries a random identifier in its spec under
+``"_write"``. When the answer to a write is lost, the client reads the object
+back: the identifier distinguishes this write from an equal write of somebody
+else. Repeating the same conditional write is safe, because at most one of the
+repetitions can match the expected revision.
+"""
+
+import secrets
+from urllib.parse import quote
+
+import anyio
+import httpx
+
+from egretlift.errors import (
+    ConflictError,
+    EgretliftError,
+    NotFound,
+    PlatformUnavailable,
+    WriteUnsettled,
+)
+
+WRITE_KEY = "_write"
+
+# A write whose answer was lost is settled within this many platform time limits.
+SETTLE_LIMITS = 4
+SETTLE_PAUSE_S = 0.05
+# An unconditional write starts again this often when others write in between.
+UNCONDITIONAL_TRIES = 5
+
+# The platform did not receive the request.
+NOT_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+# The platform answers so before it applies a change.
+NOT_APPLIED = (429, 503)
+
+
+class AnswerLost(Exception):
+    """The platform may have received the request, but its answer is missing."""
+
+
+def hide_write(item):
+    """Return an object without the write identifier in its spec.
+
+    Examples
+    --------
+    >>> hide_write({"revision": 3, "spec": {"rate": 5, "_write": "1f"}})
+    {'revision': 3, 'spec': {'rate': 5}}
+    """
+    if item is None:
+        return None
+    spec = {key: value for key, value in item["spec"].items() if key != WRITE_KEY}
+    return {**item, "spec": spec}
+
+
+def read_write(item):
+    """Return the write identifier of an object, or None."""
+    return item["spec"].get(WRITE_KEY) if item else None
+
+
+def make_conflict(kind, name, current, may_have_applied=False):
+    """Return a ``ConflictError`` that carries the current object.
+
+    The attribute ``current`` is the object as it is now, or None if there is none.
+    ``may_have_applied`` is True when the answer to an earlier attempt was lost and
+    another write followed, so this write may have been in force for a while.
+    """
+    version = current["revision"] if current else 0
+    message = f"{kind} {name} has version {version} now"
+    if may_have_applied:
+        message += ", and this change may have been applied before it"
+    error = ConflictError(message, "read it and repeat the change on that version")
+    error.current = hide_write(current)
+    error.may_have_applied = may_have_applied
+    return error
+
+
+def make_unavailable(cause):
+    """Return a ``PlatformUnavailable`` that names the cause."""
+    return PlatformUnavailable(
+        f"the platform did not serve the request: {cause}",
+        "check the platform URL, or repeat when the platform is back",
+    )
+
+
+def make_unsettled(kind, name, write_id):
+    """Return a ``WriteUnsettled`` that carries the write identifier."""
+    error = WriteUnsettled(
+        f"the platform did not say whether the change of {kind} {name} was applied",
+        "show the object when the platform is back, and repeat the change if absent",
+    )
+    error.write_id = write_id
+    return error
+
+
+def locate_object(kind, name):
+    """Return the path of an object."""
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def decode_body(response):
+    """Return the JSON object of an answer; raise ``AnswerLost`` if it is damaged."""
+    try:
+        body = response.json()
+    except ValueError:
+        body = None
+    if not isinstance(body, dict):
+        raise AnswerLost(f"an answer of status {response.status_code} is not JSON")
+    return body
+
+
+class PlatformClient:
+    """Connections to the platform and the time limits of calls.
+
+    Works with any event loop that anyio supports. Objects are dicts with ``kind``,
+    ``name``, ``revision`` and ``spec``; the spec is without the write identifier.
+
+    Parameters
+    ----------
+    settings : Settings
+        ``platform_url``, ``platform_timeout_s`` and ``watch_timeout_s`` are used.
+
+    Examples
+    --------
+    >>> async def raise_rate(settings):
+    ...     async with PlatformClient(settings) as client:
+    ...         current = await client.get_object("organisation", "harbour")
+    ...         spec = {**current["spec"], "rate": 200}
+    ...         return await client.put_object(
+    ...             "organisation", "harbour", spec, current["revision"]
+    ...         )
+    """
+
+    __slots__ = ("http", "settings")
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.http = httpx.AsyncClient(
+            base_url=settings.platform_url, timeout=None, trust_env=False
+        )
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *details):
+        await self.close()
+
+    async def close(self):
+        """Close all connections."""
+        await self.http.aclose()
+
+    async def list_objects(self, kind):
+        """Return (revision, objects) of a kind."""
+        body = await self.read(f"/objects/{quote(kind, safe='')}")
+        return body["revision"], [hide_write(item) for item in body["objects"]]
+
+    async def get_object(self, kind, name):
+        """Return an object.
+
+        Raises
+        ------
+        NotFound
+            There is no such object.
+        PlatformUnavailable
+            The platform refused, could not be reached or did not answer in time.
+        """
+        current = await self.read_object(kind, name)
+        if current is None:
+            raise NotFound(
+                f"there is no {kind} {name}", f"list the objects of kind {kind}"
+            )
+        return hide_write(current)
+
+    async def watch(self, kinds, after, timeout_s=None):
+        """Return (revision, objects) of the kinds changed after a revision.
+
+        Waits up to ``timeout_s`` (``watch_timeout_s`` of the settings if None) for
+        the first change; the list is empty when there was none.
+        """
+        limit_s = self.settings.watch_timeout_s if timeout_s is None else timeout_s
+        query = {"kinds": ",".join(kinds), "after": after, "timeout_s": limit_s}
+        body = await self.read("/watch", query, limit_s)
+        return body["revision"], [hide_write(item) for item in body["objects"]]
+
+    async def put_object(self, kind, name, spec, version=None, write_id=None):
+        """Write an object and return it as the platform holds it.
+
+        Parameters
+        ----------
+        kind, name : str
+            The object.
+        spec : dict
+            New content.
+        version : int, optional
+            Revision that the object must have, 0 if it must not exist. If None,
+            the current revision is read first, so that a delayed copy of the
+            request can never replace a later write.
+        write_id : str, optional
+            ``write_id`` of an earlier ``WriteUnsettled``, to settle that write.
+
+        Raises
+        ------
+        ConflictError
+            The object has another revision; see `make_conflict`.
+        WriteUnsettled
+            The answer was lost and reading back failed as well.
+        PlatformUnavailable
+            The change was certainly not applied.
+        """
+        lost = write_id is not None
+        write_id = write_id or secrets.token_hex(8)
+        body = {**spec, WRITE_KEY: write_id}
+        if version is not None:
+            return await self.settle_put(kind, name, body, version, lost)
+        tries = 0
+        while True:
+            current = await self.read_object(kind, name)
+            if read_write(current) == write_id:
+                return hide_write(current)
+            revision = current["revision"] if current else 0
+            try:
+                return await self.settle_put(kind, name, body, revision, lost)
+            except ConflictError as error:
+                tries += 1
+                if error.may_have_applied or tries == UNCONDITIONAL_TRIES:
+                    raise
+
+    async def delete_object(self, kind, name, version=None):
+        """Delete an object; raise ``NotFound`` if there was none.
+
+        A deletion whose answer was lost counts as done when the object is absent.
+        """
+        if version is None:
+            version = (await self.get_object(kind, name))["revision"]
+        try:
+            found = await self.try_delete(kind, name, version, False)
+        except AnswerLost:
+            found = await self.settle_delete(kind, name, version)
+        if not found:
+            raise NotFound(f"there is no {kind} {name}", f"list kind {kind}")
+
+    async def settle_put(self, kind, name, body, version, lost=False):
+        """Write under a condition until the result is known or time is over."""
+        write_id = body[WRITE_KEY]
+        if not lost:
+            try:
+                return await self.try_put(kind, name, body, version, False)
+            except AnswerLost:
+                pass
+        pause_s = SETTLE_PAUSE_S
+        with anyio.move_on_after(SETTLE_LIMITS * self.settings.platform_timeout_s):
+            while True:
+                try:
+                    return await self.read_back(kind, name, body, version)
+                except (AnswerLost, PlatformUnavailable):
+                    await anyio.sleep(pause_s)
+                    pause_s *= 2
+        raise make_unsettled(kind, name, write_id)
+
+    async def read_back(self, kind, name, body, version):
+        """Return the object if the write is in it, and repeat the write if not."""
+        current = await self.read_object(kind, name)
+        if read_write(current) == body[WRITE_KEY]:
+            return hide_write(current)
+        if version != (current["revision"] if current else 0):
+            raise make_conflict(kind, name, current, True)
+        # The first request may still arrive. Whichever of the two is applied, the
+        # other one is refused and shows the same identifier.
+        return await self.try_put(kind, name, body, version, True)
+
+    async def try_put(self, kind, name, body, version, lost):
+        """Send one conditional write; a conflict with the write itself is success."""
+        status, answer = await self.send_write("PUT", kind, name, version, body)
+        if status == 200:
+            return hide_write(answer)
+        current = answer.get("current")
+        if read_write(current) == body[WRITE_KEY]:
+            return hide_write(current)
+        raise make_conflict(kind, name, current, lost)
+
+    async def try_delete(self, kind, name, version, lost):
+        """Send one conditional deletion and return whether the object was there."""
+        status, answer = await self.send_write("DELETE", kind, name, version)
+        if status == 409:
+            raise make_conflict(kind, name, answer.get("current"), lost)
+        return status == 200
+
+    async def settle_delete(self, kind, name, version):
+        """Repeat a deletion until the object is absent or time is over."""
+        pause_s = SETTLE_PAUSE_S
+        with anyio.move_on_after(SETTLE_LIMITS * self.settings.platform_timeout_s):
+            while True:
+                try:
+                    await self.try_delete(kind, name, version, True)
+                    return True
+                except (AnswerLost, PlatformUnavailable):
+                    await anyio.sleep(pause_s)
+                    pause_s *= 2
+        raise make_unsettled(kind, name, None)
+
+    async def send_write(self, method, kind, name, version, body=None):
+        """Send one conditional write and return its status and JSON answer."""
+        response = await self.send(
+            method,
+            locate_object(kind, name),
+            headers={"if-match": str(version)},
+            json=body,
+        )
+        status = response.status_code
+        if status >= 500:
+            raise AnswerLost(f"status {status}")
+        if status == 413:
+            raise EgretliftError(
+                f"{kind} {name} is larger than the platform accepts",
+                "keep the spec below 1 MB",
+            )
+        if status == 404 and method == "DELETE":
+            return status, None
+        if status != 409:
+            self.expect(response)
+        return status, decode_body(response)
+
+    async def read_object(self, kind, name):
+        """Return an object with its write identifier, or None."""
+        return await self.read(locate_object(kind, name))
+
+    async def read(self, path, query=None, wait_s=0):
+        """Return the JSON answer to a GET request, or None for status 404."""
+        try:
+            response = await self.send("GET", path, wait_s, params=query)
+            if response.status_code >= 500:
+                raise AnswerLost(f"status {response.status_code}")
+            if response.status_code == 404 and path.startswith("/objects/"):
+                return None
+            return decode_body(self.expect(response))
+        except AnswerLost as error:
+            raise make_unavailable(error) from error
+
+    def expect(self, response):
+        """Return the answer if its status is 200."""
+        if response.status_code != 200:
+            raise EgretliftError(
+                f"the platform answered {response.status_code} to "
+                f"{response.request.method} {response.request.url.path}",
+                "check that the platform URL leads to the platform's object API",
+            )
+        return response
+
+    async def send(self, method, path, wait_s=0, **details):
+        """Send one request within the time limit and return the answer.
+
+        Raises ``PlatformUnavailable`` when the request was certainly not applied
+        and ``AnswerLost`` when that is unknown.
+        """
+        connect_s = self.settings.platform_timeout_s / 2
+        limit_s = self.settings.platform_timeout_s + wait_s
+        # Connecting gets half of the limit, so that an unreachable platform is
+        # recognised as "not sent" before the whole limit is over.
+        timeout = httpx.Timeout(None, connect=connect_s, pool=connect_s)
+        try:
+            with anyio.fail_after(limit_s):
+                response = await self.http.request(
+                    method, path, timeout=timeout, **details
+                )
+        except NOT_SENT as error:
+            raise make_unavailable(str(error) or "no connection in time") from error
+        except (httpx.TransportError, httpx.DecodingError) as error:
+            raise AnswerLost(type(error).__name__) from error
+        except TimeoutError as error:
+            raise AnswerLost(f"no answer within {limit_s:g} s") from error
+        if response.status_code in NOT_APPLIED:
+            raise make_unavailable(f"status {response.status_code}")
+        return response
