Add the operators' command line

Operators need to change profiles, organisations and keys without overwriting each other, and to see what every daemon does. Writes merge with the object that was read and are conditional on its version; views read /state and /events of the daemons that answer and note the others.

--- /dev/null
+++ b/egretlift/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Run ``python -m egretlift.cli``."""
+
+from egretlift.cli.commands import main
+
+main()
--- /dev/null
+++ b/egretlift/cli/hosts.py
@@ -0,0 +1,269 @@
+"""Commands that read the state of the daemons."""
+
+import anyio
+import httpx
+import typer
+
+from egretlift.cli.output import OUTPUT, Output, print_note, print_rows
+from egretlift.cli.session import call_platform, list_endpoints
+from egretlift.errors import EgretliftError
+
+STATE_TIMEOUT_S = 3
+# Daemons asked at the same time.
+PARALLEL_REQUESTS = 64
+GONE = ("dead", "left")
+CONFIGURATION_KINDS = ("profile", "organisation", "key")
+
+HOST = typer.Option(None, "--host", help="Only this host.")
+
+
+def make_http():
+    """Return an HTTP client for the operators' ports."""
+    limits = httpx.Limits(max_connections=PARALLEL_REQUESTS)
+    return httpx.AsyncClient(timeout=STATE_TIMEOUT_S, limits=limits, trust_env=False)
+
+
+def name_endpoint(endpoint):
+    """Return ``address:port``, with brackets around an IPv6 address."""
+    address, port = endpoint
+    return f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
+
+
+async def fetch_all(http, endpoints, path="/state"):
+    """Return, for each endpoint, the JSON answer or the error as an exception.
+
+    Parameters
+    ----------
+    endpoints : list of (str, int) or (str, int, str)
+        Address and port, and a path if it differs between daemons.
+    """
+    results = [None] * len(endpoints)
+    limiter = anyio.CapacityLimiter(PARALLEL_REQUESTS)
+
+    async def fetch(index, address, port, path=path):
+        url = f"http://{name_endpoint((address, port))}{path}"
+        async with limiter:
+            try:
+                response = await http.get(url)
+                response.raise_for_status()
+                body = response.json()
+                if not isinstance(body, dict):
+                    raise ValueError("the answer is not an object")
+                results[index] = body
+            except (httpx.HTTPError, ValueError) as error:
+                results[index] = error
+
+    async with anyio.create_task_group() as group:
+        for index, endpoint in enumerate(endpoints):
+            group.start_soon(fetch, index, *endpoint)
+    return results
+
+
+def describe_error(error):
+    """Return one line on a failed request."""
+    return " ".join(str(error).split()) or type(error).__name__
+
+
+def merge_member_lists(answers):
+    """Return the members named by several daemons, one for each host.
+
+    Daemons of zones that are cut off from each other know different members. The
+    newest incarnation and version of a host counts.
+    """
+    members = {}
+    for state in answers:
+        for member in state.get("members", ()):
+            known = members.get(member["host"])
+            if known is None or rank_member(member) > rank_member(known):
+                members[member["host"]] = member
+    return sorted(members.values(), key=lambda m: (m.get("zone") or "", m["host"]))
+
+
+def rank_member(member):
+    """Return a value that grows with the age of the news about a member."""
+    return member.get("incarnation") or 0, member.get("version") or 0
+
+
+async def find_members(http, session):
+    """Return the members known to the daemons named by ``--operators``."""
+    endpoints = list_endpoints(session)
+    answers = await fetch_all(http, endpoints)
+    states = []
+    for endpoint, answer in zip(endpoints, answers, strict=True):
+        if isinstance(answer, Exception):
+            problem = describe_error(answer)
+            print_note(f"{name_endpoint(endpoint)} did not answer: {problem}")
+            continue
+        states.append(answer)
+        if answer["host"] not in [m["host"] for m in answer.get("members", ())]:
+            address, port = endpoint
+            me = {"address": address, "operators_port": port}
+            for name in ("host", "zone", "service", "status", "incarnation"):
+                me[name] = answer.get(name)
+            states.append({"members": [me]})
+    if not states:
+        raise EgretliftError(
+            "no daemon answered", "give --operators of a running daemon"
+        )
+    return merge_member_lists(states)
+
+
+def list_reachable(members, host=None):
+    """Return the members that can be asked."""
+    return [
+        member
+        for member in members
+        if member.get("status") not in GONE and host in (None, member["host"])
+    ]
+
+
+async def read_states(session, host=None):
+    """Return a list of (member, state) of all known hosts.
+
+    The state is an exception if the host did not answer, None if it was not asked.
+    """
+    async with make_http() as http:
+        members = await find_members(http, session)
+        asked = list_reachable(members, host)
+        answers = await fetch_all(
+            http, [(member["address"], member["operators_port"]) for member in asked]
+        )
+    found = {m["host"]: a for m, a in zip(asked, answers, strict=True)}
+    return [
+        (member, found.get(member["host"]))
+        for member in members
+        if host in (None, member["host"])
+    ]
+
+
+def collect_states(session, host=None):
+    """Return (member, state) of the hosts that answered and note the others."""
+    pairs = anyio.run(read_states, session, host)
+    for member, state in pairs:
+        if isinstance(state, Exception):
+            print_note(f"host {member['host']} did not answer: {describe_error(state)}")
+    return [pair for pair in pairs if isinstance(pair[1], dict)]
+
+
+def describe_host(member, state):
+    """Return the row of a host; hosts that do not answer have fewer columns."""
+    row = {
+        "host": member["host"],
+        "zone": member.get("zone"),
+        "service": member.get("service"),
+        "status": member.get("status"),
+        "operators": name_endpoint((member["address"], member["operators_port"])),
+    }
+    if state is None:
+        return row
+    if isinstance(state, Exception):
+        return {**row, "problem": describe_error(state)}
+    configuration = state.get("configuration", {})
+    return {
+        **row,
+        "status": state.get("status", row["status"]),
+        "revision": configuration.get("revision"),
+        "staleness_s": configuration.get("staleness_s"),
+        "digest": (configuration.get("digest") or "")[:12],
+    }
+
+
+def hosts_command(ctx: typer.Context, host: str = HOST, output: Output = OUTPUT):
+    """List every known host with its status and the age of its configuration."""
+    pairs = anyio.run(read_states, ctx.obj, host)
+    print_rows([describe_host(*pair) for pair in pairs], output or ctx.obj.output)
+
+
+def limits_command(ctx: typer.Context, host: str = HOST, output: Output = OUTPUT):
+    """List the concurrency limit, queue and shed level of every host."""
+    rows = [
+        {"host": member["host"], "zone": member.get("zone"), **state.get("limit", {})}
+        for member, state in collect_states(ctx.obj, host)
+    ]
+    print_rows(rows, output or ctx.obj.output)
+
+
+def shares_command(
+    ctx: typer.Context,
+    host: str = HOST,
+    organisation: str = typer.Option(None, help="Only this organisation."),
+    output: Output = OUTPUT,
+):
+    """List the part of each organisation's rate that every host holds."""
+    rows = [
+        {"host": member["host"], "zone": member.get("zone"), **share}
+        for member, state in collect_states(ctx.obj, host)
+        for share in state.get("shares", ())
+        if organisation in (None, share.get("organisation"))
+    ]
+    rows.sort(key=lambda row: (str(row.get("organisation")), row["host"]))
+    print_rows(rows, output or ctx.obj.output)
+
+
+async def list_revisions(client):
+    """Return the platform's current revision of every configuration object."""
+    revisions = {}
+    for kind in CONFIGURATION_KINDS:
+        _, items = await client.list_objects(kind)
+        for item in items:
+            revisions[f"{kind}/{item['name']}"] = item["revision"]
+    return revisions
+
+
+def read_revisions(session):
+    """Return the platform's revisions, or {} with a note if it is unavailable."""
+    if not session.platform_url:
+        return {}
+    try:
+        return call_platform(session, list_revisions)
+    except EgretliftError as error:
+        print_note(f"{error}; the newest revision on any host is shown instead")
+        return {}
+
+
+def compare_revisions(pairs, current):
+    """Return one row for each object and host.
+
+    ``in_force`` is ``newest`` if the host holds the newest known revision,
+    ``behind`` if it holds an older one and ``missing`` if it holds none.
+    """
+    held = [(m, s.get("configuration", {}).get("objects", {})) for m, s in pairs]
+    newest = dict(current)
+    for _, objects in held:
+        for name, revision in objects.items():
+            newest[name] = max(revision, newest.get(name, 0))
+    rows = []
+    for name in sorted(newest):
+        for member, objects in held:
+            revision = objects.get(name)
+            state = "newest" if revision == newest[name] else "behind"
+            rows.append(
+                {
+                    "object": name,
+                    "host": member["host"],
+                    "zone": member.get("zone"),
+                    "revision": revision,
+                    "newest": newest[name],
+                    "in_force": "missing" if revision is None else state,
+                }
+            )
+    return rows
+
+
+def in_force_command(
+    ctx: typer.Context,
+    name: str = typer.Option(None, "--object", help="Only this KIND/NAME."),
+    host: str = HOST,
+    behind: bool = typer.Option(False, "--behind", help="Only what is not newest."),
+    output: Output = OUTPUT,
+):
+    """List which revision of which object is in force on which host."""
+    rows = [
+        row
+        for row in compare_revisions(
+            collect_states(ctx.obj, host), read_revisions(ctx.obj)
+        )
+        if name in (None, row["object"])
+        and not (behind and row["in_force"] == "newest")
+    ]
+    print_rows(rows, output or ctx.obj.output)
--- /dev/null
+++ b/egretlift/cli/keys.py
@@ -0,0 +1,105 @@
+"""Commands ``key``: give, list and withdraw keys of organisations."""
+
+import secrets
+import sys
+
+import typer
+
+from egretlift.cli.objects import withdraw_object
+from egretlift.cli.output import OUTPUT, Output, print_note, print_rows
+from egretlift.cli.session import call_platform
+from egretlift.errors import EgretliftError, NotFound
+
+app = typer.Typer(help="Keys of organisations.", no_args_is_help=True)
+
+# Shorter prefixes are easily mistyped into another key's digest.
+SHORTEST_PREFIX = 8
+
+
+async def give_key(client, organisation):
+    """Store the digest of a new key and return (key, digest)."""
+    from egretlift.identity import digest_key, generate_key
+
+    item = await client.get_object("organisation", organisation)
+    if item["spec"].get("withdrawn"):
+        raise EgretliftError(
+            f"organisation {organisation} is withdrawn",
+            "write the organisation again before giving keys",
+        )
+    key = generate_key(organisation, secrets.token_bytes(32))
+    digest = digest_key(key)
+    await client.put_object("key", digest, {"organisation": organisation}, 0)
+    return key, digest
+
+
+def read_digest(text):
+    """Return a digest or its prefix; ``-`` reads a key from stdin."""
+    if text != "-":
+        return text.lower()
+    from egretlift.identity import digest_key
+
+    return digest_key(sys.stdin.readline().strip())
+
+
+def match_digest(items, prefix):
+    """Return the only digest that starts with the prefix."""
+    if len(prefix) < SHORTEST_PREFIX:
+        raise typer.BadParameter(f"give at least {SHORTEST_PREFIX} digits")
+    found = [item["name"] for item in items if item["name"].startswith(prefix)]
+    if not found:
+        raise NotFound(f"there is no key {prefix}", "see egretlift key list")
+    if len(found) > 1:
+        raise EgretliftError(
+            f"{len(found)} keys start with {prefix}", "give more of the digest"
+        )
+    return found[0]
+
+
+async def withdraw_key(client, prefix):
+    """Withdraw the key with a digest or prefix and return the object."""
+    _, items = await client.list_objects("key")
+    return await withdraw_object(client, "key", match_digest(items, prefix))
+
+
+@app.command("give")
+def give_command(ctx: typer.Context, organisation: str):
+    """Make a key and print it once. Only its digest is stored."""
+    key, digest = call_platform(ctx.obj, lambda client: give_key(client, organisation))
+    print(key)
+    print_note(f"the digest of the key is {digest}; the key is not shown again")
+
+
+@app.command("list")
+def list_command(
+    ctx: typer.Context,
+    organisation: str = typer.Option(None, help="Only keys of this organisation."),
+    output: Output = OUTPUT,
+):
+    """List the digests of all keys."""
+    _, items = call_platform(ctx.obj, lambda client: client.list_objects("key"))
+    rows = [
+        {
+            "digest": item["name"],
+            "organisation": item["spec"].get("organisation"),
+            "revision": item["revision"],
+            "withdrawn": bool(item["spec"].get("withdrawn")),
+        }
+        for item in items
+        if organisation in (None, item["spec"].get("organisation"))
+    ]
+    rows.sort(key=lambda row: (str(row["organisation"]), row["revision"]))
+    print_rows(rows, output or ctx.obj.output)
+
+
+@app.command("withdraw")
+def withdraw_command(
+    ctx: typer.Context,
+    digest: str = typer.Argument(help="Digest, its first digits, or - for a key."),
+):
+    """Withdraw a key. Calls with it are refused within seconds.
+
+    With - the key itself is read from stdin, so that it is in no command history.
+    """
+    prefix = read_digest(digest)
+    item = call_platform(ctx.obj, lambda client: withdraw_key(client, prefix))
+    print_note(f"key {item['name']} is withdrawn at version {item['revision']}")
--- /dev/null
+++ b/egretlift/cli/objects.py
@@ -0,0 +1,211 @@
+"""Commands ``profile`` and ``organisation``."""
+
+import json
+import sys
+from pathlib import Path
+
+import typer
+
+from egretlift.cli.output import OUTPUT, Output, print_note, print_rows
+from egretlift.cli.session import call_platform, check_option
+from egretlift.errors import EgretliftError, NotFound, OrganisationInvalid
+from egretlift.platform.client import make_conflict
+from egretlift.settings import read_name
+
+# Smallest allowed value of each field; rate and burst are required.
+ORGANISATION_FIELDS = {"rate": 0.0, "burst": 1.0, "weight": 0.0}
+FILE = typer.Argument(None, help="JSON file with the spec, or - for stdin.")
+SET = typer.Option([], "--set", metavar="NAME=VALUE", help="Set one field.")
+VERSION = typer.Option(
+    None, "--version", min=0, help="Version that must be current; 0 if none."
+)
+
+
+def check_profile(name, spec):
+    """Raise an ``ExceptionGroup`` of the errors of a profile spec."""
+    from egretlift.configuration import parse_profile
+
+    parse_profile(name, spec)
+
+
+def check_organisation(name, spec):
+    """Raise an ``ExceptionGroup`` of the errors of an organisation spec.
+
+    Examples
+    --------
+    >>> check_organisation("harbour", {"rate": 100, "burst": 200})
+    """
+    errors = [
+        OrganisationInvalid(
+            f"organisation {name} has an unknown field {field!r}",
+            f"use {', '.join(ORGANISATION_FIELDS)}",
+        )
+        for field in spec
+        if field not in ORGANISATION_FIELDS and field != "withdrawn"
+    ]
+    for field, least in ORGANISATION_FIELDS.items():
+        value = spec.get(field, 1 if field == "weight" else None)
+        number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if not number or not 0 < value < float("inf") or value < least:
+            bound = f"at least {least:g}" if least else "greater than 0"
+            errors.append(
+                OrganisationInvalid(
+                    f"{field} of organisation {name} is {value!r}",
+                    f"give a number {bound}, e.g. --set {field}=100",
+                )
+            )
+    if errors:
+        raise ExceptionGroup("the organisation is invalid", errors)
+
+
+def parse_pair(text):
+    """Return (name, value) of ``name=value``; the value is JSON or else text.
+
+    Examples
+    --------
+    >>> parse_pair("retries=2"), parse_pair("priority=critical")
+    (('retries', 2), ('priority', 'critical'))
+    """
+    name, separator, value = text.partition("=")
+    if not separator or not name:
+        raise typer.BadParameter(f"{text!r} is not NAME=VALUE", param_hint="--set")
+    try:
+        return name, json.loads(value)
+    except ValueError:
+        return name, value
+
+
+def read_spec(path, pairs):
+    """Return the fields given by a file and by ``--set`` pairs."""
+    if path is None and not pairs:
+        raise typer.BadParameter("give a JSON file, -, or --set NAME=VALUE")
+    spec = {}
+    if path is not None:
+        try:
+            text = sys.stdin.read() if path == "-" else Path(path).read_text()
+            spec = json.loads(text)
+        except (OSError, ValueError) as error:
+            raise EgretliftError(
+                f"cannot read a spec from {path}: {error}", "give a JSON file"
+            ) from None
+        if not isinstance(spec, dict):
+            raise EgretliftError(f"{path} holds no JSON object", 'give {"name": ...}')
+    return {**spec, **dict(map(parse_pair, pairs))}
+
+
+def merge_spec(current, fields):
+    """Return the new spec; writing to a withdrawn object puts it in force again."""
+    spec = dict(current["spec"]) if current else {}
+    spec.pop("withdrawn", None)
+    return {**spec, **fields}
+
+
+async def find_object(client, kind, name):
+    """Return an object, or None if there is none."""
+    try:
+        return await client.get_object(kind, name)
+    except NotFound:
+        return None
+
+
+def check_version(kind, name, current, version):
+    """Return the version to write on; raise if another one was required.
+
+    The spec is merged with the object that was read, so only its version counts.
+    """
+    found = current["revision"] if current else 0
+    if version is not None and version != found:
+        raise make_conflict(kind, name, current)
+    return found
+
+
+async def write_object(client, kind, name, fields, version, check_spec):
+    """Merge fields into an object, write it conditionally and return it."""
+    current = await find_object(client, kind, name)
+    found = check_version(kind, name, current, version)
+    spec = merge_spec(current, fields)
+    check_spec(name, spec)
+    return await client.put_object(kind, name, spec, found)
+
+
+async def withdraw_object(client, kind, name, version=None):
+    """Mark an object as withdrawn and return it."""
+    current = await client.get_object(kind, name)
+    check_version(kind, name, current, version)
+    if current["spec"].get("withdrawn"):
+        return current
+    spec = {**current["spec"], "withdrawn": True}
+    return await client.put_object(kind, name, spec, current["revision"])
+
+
+def describe_object(item):
+    """Return an object as one row."""
+    spec = {key: value for key, value in item["spec"].items() if key != "withdrawn"}
+    return {
+        "name": item["name"],
+        "revision": item["revision"],
+        "withdrawn": bool(item["spec"].get("withdrawn")),
+        **spec,
+    }
+
+
+def print_object(item, output):
+    """Print one object; the table has one line for each field."""
+    row = describe_object(item)
+    if output == Output.JSON:
+        print(json.dumps(row, indent=2))
+    else:
+        print_rows([{"field": k, "value": v} for k, v in row.items()], output)
+
+
+def make_object_app(kind, check_spec):
+    """Return the commands of one kind of object."""
+    app = typer.Typer(
+        help=f"{kind.capitalize()} objects of the platform.", no_args_is_help=True
+    )
+
+    @app.command("list", help=f"List every {kind}.")
+    def list_command(ctx: typer.Context, output: Output = OUTPUT):
+        session = ctx.obj
+        _, items = call_platform(session, lambda client: client.list_objects(kind))
+        items.sort(key=lambda item: item["name"])
+        print_rows([describe_object(i) for i in items], output or session.output)
+
+    @app.command("show", help=f"Show one {kind} and its version.")
+    def show_command(ctx: typer.Context, name: str, output: Output = OUTPUT):
+        session = ctx.obj
+        item = call_platform(session, lambda client: client.get_object(kind, name))
+        print_object(item, output or session.output)
+
+    @app.command(
+        "write",
+        help=f"Create or change one {kind}. Fields that are not given stay as they "
+        "are. Fails with status 4 if somebody else changed it in between.",
+    )
+    def write_command(
+        ctx: typer.Context,
+        name: str,
+        file: str = FILE,
+        pairs: list[str] = SET,
+        version: int = VERSION,
+        output: Output = OUTPUT,
+    ):
+        session = ctx.obj
+        check_option("name", read_name, name)
+        fields = read_spec(file, pairs)
+        item = call_platform(
+            session,
+            lambda client: write_object(
+                client, kind, name, fields, version, check_spec
+            ),
+        )
+        print_object(item, output or session.output)
+
+    @app.command("withdraw", help=f"Take one {kind} out of force. It stays listed.")
+    def withdraw_command(ctx: typer.Context, name: str, version: int = VERSION):
+        item = call_platform(
+            ctx.obj, lambda client: withdraw_object(client, kind, name, version)
+        )
+        print_note(f"{kind} {name} is withdrawn at version {item['revision']}")
+
+    return app
--- /dev/null
+++ b/egretlift/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' command line."""
--- a/egretlift/platform/tests/test_client.py
+++ b/egretlift/platform/tests/test_client.py
@@ -13,99 +13,15 @@
     WriteUnsettled,
 )
 from egretlift.platform import PlatformClient
+from egretlift.platform.tests.fake import FakePlatform, make_app, store
 from egretlift.settings import Settings
 
 
-class FakePlatform:
-    """Objects in memory, with faults scripted per request."""
-
-    __slots__ = ("faults", "objects", "revision", "writes")
-
-    def __init__(self, faults=()):
-        self.objects = {}
-        self.revision = 0
-        self.faults = list(faults)
-        self.writes = 0
-
-
-def store(platform, kind, name, spec):
-    platform.revision += 1
-    item = {"kind": kind, "name": name, "revision": platform.revision, "spec": spec}
-    platform.objects[kind, name] = item
-    return item
-
-
-async def answer(platform, request):
-    key = request.match_info["kind"], request.match_info.get("name")
-    if request.method == "GET":
-        if key[1] is None:
-            items = [v for k, v in platform.objects.items() if k[0] == key[0]]
-            return 200, {"revision": platform.revision, "objects": items}
-        item = platform.objects.get(key)
-        return (200, item) if item else (404, {})
-    platform.writes += 1
-    current = platform.objects.get(key)
-    expected = int(request.headers["if-match"])
-    if request.method == "DELETE" and current is None:
-        return 404, {}
-    if expected != (current["revision"] if current else 0):
-        return 409, {"current": current}
-    if request.method == "DELETE":
-        return 200, platform.objects.pop(key)
-    return 200, store(platform, *key, await request.json())
-
-
-async def handle(platform, request):
-    """Apply the next fault: a name is for any method, PUT/name for one method."""
-    fault = None
-    if platform.faults:
-        method, _, name = platform.faults[0].rpartition("/")
-        if method in ("", request.method):
-            fault = name
-            platform.faults.pop(0)
-    if fault == "unavailable":
-        return web.json_response({}, status=503)
-    if fault == "busy":
-        return web.json_response({}, status=429)
-    if fault == "hang":
-        await anyio.sleep(0.6)
-    if fault == "close":
-        request.transport.close()
-        return web.Response()
-    status, body = await answer(platform, request)
-    if fault == "applied-then-replaced":
-        key = request.match_info["kind"], request.match_info["name"]
-        store(platform, *key, {"rate": 99, "_write": "other"})
-    if fault in ("applied", "applied-then-replaced"):
-        request.transport.close()
-    if fault == "bad-gateway":
-        return web.json_response({}, status=502)
-    return web.json_response(body, status=status)
-
-
-async def handle_watch(platform, request):
-    after = int(request.query["after"])
-    kinds = request.query["kinds"].split(",")
-    with anyio.move_on_after(float(request.query["timeout_s"])):
-        while platform.revision <= after:
-            await anyio.sleep(0.01)
-    items = [
-        v
-        for v in platform.objects.values()
-        if v["revision"] > after and v["kind"] in kinds
-    ]
-    return web.json_response({"revision": platform.revision, "objects": items})
-
-
 def run_against(platform, use, timeout_s=0.4):
     """Run ``use(client)`` against the fake platform."""
 
     async def run():
-        app = web.Application()
-        app.router.add_get("/watch", lambda r: handle_watch(platform, r))
-        for path in ("/objects/{kind}", "/objects/{kind}/{name}"):
-            app.router.add_route("*", path, lambda r: handle(platform, r))
-        runner = web.AppRunner(app, shutdown_timeout=0)
+        runner = web.AppRunner(make_app(platform), shutdown_timeout=0)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
