--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import logging
 import signal
 
 import aiohttp
@@ -56,8 +55,6 @@
 
 async def start_server(server, port):
     """Listen on a port of 127.0.0.1; return the runner and the bound port."""
-    # A closed connection during a long answer is a fault under test, not an error.
-    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     runner = web.ServerRunner(server, shutdown_timeout=1.0)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", port, backlog=1024)
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,219 @@
+"""Stand-in for an upstream service on a host of egretliftd.
+
+::
+
+    python -m standins.upstream '{"service": "scheduler", "port": 7300,
+        "daemon_port": 7401, "routes": [{"method": "*", "prefix": "/",
+        "profile": "browse"}]}'
+
+The argument is a JSON object with fields of ``OPTIONS`` and, under ``behaviour``,
+of ``BEHAVIOUR``. A route may also have ``service_s``, ``distribution``,
+``parallel`` and ``calls``: a list of ``{"service", "method", "path", "repeats",
+"identifier"}`` made through the daemon with each execution. ``identifier`` passes
+the received identifier on, extended by the position of the call.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+
+from standins.execution import serve_request
+from standins.records import Records
+from standins.serving import (
+    LimitedServer,
+    change_values,
+    open_session,
+    read_object,
+    start_server,
+    wait_for_stop,
+)
+
+ANNOUNCE_PERIOD_S = 1.0
+
+OPTIONS = {
+    "service": None,
+    "port": 0,
+    "daemon_port": None,  # the daemon's upstream port; None: no daemon
+    "routes": [{"method": "*", "prefix": "/", "profile": "default"}],
+    "slots": 60,
+    "connections": 450,
+    "connect_cost_s": 0.0,  # added to the first request of a connection
+    "cold_start_s": 0.0,
+    "cold_start_factor": 3.0,
+    "records_path": None,
+    "seed": 0,
+    "drain_limit_s": 30.0,
+}
+
+# queue_limit: requests waiting for a slot, above which queue_full applies: "refuse"
+#     answers 503, "hang" never answers.
+# failure_share, lost_share and truncated_share apply after the execution: answer
+#     500, close without an answer, close within the answer's body.
+# answer_delay_s: pause after the execution, without its slot.
+# honour_deadline: stop and answer 504 at the deadline given by the daemon.
+BEHAVIOUR = {
+    "service_s": 0.02,
+    "service_factor": 1.0,
+    "distribution": "exponential",
+    "failure_share": 0.0,
+    "lost_share": 0.0,
+    "truncated_share": 0.0,
+    "answer_delay_s": 0.0,
+    "queue_limit": 2000,
+    "queue_full": "refuse",
+    "honour_deadline": True,
+    "announce": True,
+}
+
+
+class Upstream:
+    """Options, behaviour, slots and records of one upstream."""
+
+    __slots__ = (
+        "behaviour",
+        "options",
+        "random",
+        "records",
+        "running",
+        "session",
+        "slots",
+        "started",
+        "waiting",
+    )
+
+    def __init__(self, options):
+        options = dict(options)
+        behaviour = options.pop("behaviour", {})
+        self.behaviour = change_values(dict(BEHAVIOUR), behaviour)
+        self.options = change_values(dict(OPTIONS), options)
+        self.random = random.Random(self.options["seed"])
+        name = f"{self.options['service']}-{os.getpid()}-{id(self):x}"
+        self.records = Records(self.options["records_path"], name)
+        self.slots = asyncio.Semaphore(self.options["slots"])
+        self.started = time.monotonic()
+        self.waiting = 0
+        self.running = 0
+        self.session = None
+
+
+async def notify_daemon(upstream, message, body=None):
+    """Send an announcement, a drain or a leave; return whether it arrived."""
+    if upstream.options["daemon_port"] is None:
+        return False
+    url = f"http://127.0.0.1:{upstream.options['daemon_port']}/{message}"
+    timeout = aiohttp.ClientTimeout(total=ANNOUNCE_PERIOD_S)
+    try:
+        async with upstream.session.post(url, json=body, timeout=timeout) as answer:
+            upstream.records.counts[f"{message} {answer.status}"] += 1
+            return answer.status == 200
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        upstream.records.counts[f"{message} failed"] += 1
+        return False
+
+
+async def announce(upstream, port):
+    """Announce the service to the daemon each second."""
+    names = ("method", "prefix", "profile")
+    body = {
+        "service": upstream.options["service"],
+        "port": port,
+        "routes": [
+            {name: route[name] for name in names}
+            for route in upstream.options["routes"]
+        ],
+    }
+    while True:
+        if upstream.behaviour["announce"]:
+            await notify_daemon(upstream, "announce", body)
+        await asyncio.sleep(ANNOUNCE_PERIOD_S)
+
+
+async def leave_daemon(upstream, message):
+    """Send a drain or a leave, and announce no more."""
+    upstream.behaviour["announce"] = False
+    return await notify_daemon(upstream, message)
+
+
+async def control(upstream, request):
+    """Answer a call to the stand-in itself, or to a health endpoint."""
+    # These endpoints look healthy whatever the state, as those of the real
+    # upstreams may.
+    if request.path == "/health":
+        return web.json_response({"status": "healthy"})
+    if request.path == "/load":
+        return web.json_response({"in_use": 0, "queued": 0})
+    name = request.path.removeprefix("/stand-in/")
+    if name == "records":
+        records = upstream.records
+        now = {"waiting": upstream.waiting, "running": upstream.running}
+        return web.json_response(
+            {
+                "counts": {**records.counts, **now},
+                "records": list(records.executions),
+                "headers": list(records.headers),
+            }
+        )
+    if name in ("drain", "leave"):
+        return web.json_response({"accepted": await leave_daemon(upstream, name)})
+    if name == "behaviour":
+        try:
+            change_values(upstream.behaviour, await read_object(request))
+        except ValueError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        return web.json_response(upstream.behaviour)
+    return web.json_response({"error": "no such call"}, status=404)
+
+
+async def start_upstream(upstream):
+    """Serve an upstream; return its runner, port and announcement task."""
+    upstream.session = open_session(timeout=aiohttp.ClientTimeout(total=None))
+
+    async def handle(request):
+        fresh = server.take_fresh(request.protocol)
+        if request.path in ("/health", "/load") or request.path.startswith("/stand-in"):
+            return await control(upstream, request)
+        return await serve_request(upstream, request, fresh)
+
+    server = LimitedServer(
+        handle, limit=upstream.options["connections"], handler_cancellation=True
+    )
+    runner, port = await start_server(server, upstream.options["port"])
+    return runner, port, asyncio.ensure_future(announce(upstream, port))
+
+
+async def stop_upstream(upstream, runner, announcing):
+    """Drain, wait for the requests in flight and leave."""
+    # Cancelled first, so that no announcement overtakes the drain.
+    announcing.cancel()
+    await leave_daemon(upstream, "drain")
+    limit = time.monotonic() + upstream.options["drain_limit_s"]
+    while upstream.running + upstream.waiting and time.monotonic() < limit:
+        await asyncio.sleep(0.02)
+    await leave_daemon(upstream, "leave")
+    await runner.cleanup()
+    await upstream.session.close()
+
+
+async def run_upstream(options):
+    """Serve until SIGTERM, then leave gracefully."""
+    upstream = Upstream(options)
+    runner, _, announcing = await start_upstream(upstream)
+    await wait_for_stop()
+    await stop_upstream(upstream, runner, announcing)
+
+
+def main():
+    """Run the upstream from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("options", type=json.loads, help="JSON object")
+    asyncio.run(run_upstream(parser.parse_args().options))
+
+
+if __name__ == "__main__":
+    main()
