--- a/egretlift/cli/hosts.py
+++ b/egretlift/cli/hosts.py
@@ -162,6 +162,7 @@
     return {
         **row,
         "status": state.get("status", row["status"]),
+        "incarnation": state.get("incarnation"),
         "revision": configuration.get("revision"),
         "staleness_s": configuration.get("staleness_s"),
         "digest": (configuration.get("digest") or "")[:12],
