--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -4,14 +4,15 @@
 """
 
 import random
+import time
 
 import anyio
 
 from egretlift.admission import AdmissionState, ThrottleState
 from egretlift.configuration import Catalog
-from egretlift.events import EventRing
 from egretlift.idempotency import Ledger
 from egretlift.membership import Member, MemberTable
+from egretlift.quotas import LeaseState
 from egretlift.retries import RetryBudget
 from egretlift.routing import HostRecords
 
@@ -77,32 +78,38 @@
 
     __slots__ = (
         "admission",
+        "allocator_epoch",
         "allocators",
         "budget",
         "calls",
         "catalog",
+        "catalog_complete",
         "channels",
-        "claims_in_flight",
         "counters",
-        "events",
+        "fresh_objects",
         "host_records",
         "identifier_sequence",
         "incarnation",
         "kick_gossip",
         "ledger",
-        "lease",
+        "lease_endpoints",
+        "lease_specs",
+        "leases",
         "me",
         "members",
         "open_requests",
         "platform",
         "platform_failed_at",
         "platform_reached_at",
+        "quarantine_until",
         "random",
         "reserved",
         "sessions",
         "settings",
         "share_news",
-        "share_requested_at",
+        "share_objects",
+        "share_wanted",
+        "share_writes",
         "shares",
         "slots",
         "stop",
@@ -129,16 +136,15 @@
             control_port=settings.control_port,
             operators_port=settings.operators_port,
             status="alive",
-            routes=[],
+            routes=(),
         )
-        self.members = MemberTable()
+        self.members = MemberTable(settings.host)
         self.catalog = Catalog()
         self.admission = AdmissionState(settings)
         self.throttle = ThrottleState()
         self.budget = RetryBudget()
         self.host_records = HostRecords()
         self.ledger = Ledger()
-        self.events = EventRing(settings.host)
         self.counters = Counters()
         self.upstream = Upstream()
         self.calls = {}
@@ -146,11 +152,21 @@
         self.shares = {}
         self.reserved = {}
         self.share_news = {}
-        self.share_requested_at = {}
+        self.share_wanted = anyio.Event()
         self.allocators = {}
         self.zone_shares = {}
-        self.lease = None
-        self.claims_in_flight = 0
+        self.leases = {}
+        self.lease_specs = {}
+        self.leases[settings.zone] = LeaseState(
+            settings.zone, settings.host, incarnation, time.monotonic()
+        )
+        self.lease_endpoints = []
+        self.share_objects = {}
+        self.share_writes = set()
+        self.allocator_epoch = 0
+        self.quarantine_until = 0.0
+        self.catalog_complete = False
+        self.fresh_objects = []
         self.identifier_sequence = 0
         self.channels = {}
         self.sessions = {}
--- a/egretlift/daemon/announcements.py
+++ b/egretlift/daemon/announcements.py
@@ -5,16 +5,13 @@
 import anyio
 
 from egretlift.events import record_event
-from egretlift.membership import parse_announcement
+from egretlift.membership import advance_member, merge_members, parse_announcement
 
 
-def publish_self(board, status=None):
+def publish_self(board, status, **changes):
     """Give the own member record a new version and spread it soon."""
-    me = board.me
-    me.version += 1
-    if status:
-        me.status = status
-    board.members.put_self(me)
+    board.me = advance_member(board.me, status=status, **changes)
+    merge_members(board.members, time.monotonic(), [board.me])
     board.kick_gossip.set()
 
 
@@ -43,10 +40,13 @@
     upstream.port = announcement.port
     upstream.routes = announcement.routes
     upstream.status = "serving"
-    board.me.service = announcement.service
-    board.me.routes = announcement.routes
     record_event("upstream-announced", service=upstream.service, port=upstream.port)
-    publish_self(board, "draining" if board.stopping else "alive")
+    publish_self(
+        board,
+        "draining" if board.stopping else "alive",
+        service=announcement.service,
+        routes=announcement.routes,
+    )
 
 
 def leave_upstream(board, kind):
--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -14,7 +14,8 @@
 from egretlift.blackboard import count
 from egretlift.daemon.execution import execute_here
 from egretlift.identity import CallContext, sign_context
-from egretlift.outcome import CONTEXT_HEADER, IDENTIFIER_HEADER, Outcome, Refusal
+from egretlift.membership import hosts_of
+from egretlift.outcome import CONTEXT_HEADER, Outcome, Refusal
 from egretlift.retries import record_request, spend_budget, spend_retry
 from egretlift.routing import choose_host, finish_call, record_answer, start_call
 from egretlift.transport.forward import classify_peer_answer, send_request
@@ -48,6 +49,8 @@
         0 for a caller's request.
     key_digest : str or None
         Digest of the key, known only at the entry daemon.
+    outgoing : bool
+        Whether this host's upstream makes the call.
     outgoing_failed, outgoing_refused : bool
         Whether a call made by the upstream while it ran this call did not end
         whole, or was refused for load.
@@ -64,6 +67,7 @@
         "key_digest",
         "method",
         "organisation",
+        "outgoing",
         "outgoing_failed",
         "outgoing_refused",
         "path",
@@ -88,6 +92,7 @@
         self.organisation = None
         self.key_digest = None
         self.identifier = None
+        self.outgoing = False
         self.outgoing_failed = False
         self.outgoing_refused = False
         self.repeats = None
@@ -100,15 +105,15 @@
     return call.deadline - time.monotonic()
 
 
-def make_context(board, call, lent, identifier):
+def make_context(board, call, lent, hop):
     """Return the context of a call for another daemon.
 
     Parameters
     ----------
     lent : int
         Retries lent to the receiver.
-    identifier : str or None
-        Given only when the receiver is the home of the identifier.
+    hop : str
+        ``outgoing``, ``home`` or ``execute``; see ``CallContext``.
     """
     return CallContext(
         call_id=call.call_id,
@@ -117,21 +122,19 @@
         remaining_s=remaining(call),
         retries=lent,
         depth=call.depth,
-        identifier=identifier,
+        identifier=call.identifier,
         origin_host=board.settings.host,
-        entry=call.depth == 0,
+        hop=hop,
     )
 
 
-async def forward_to(board, call, member, identifier=None):
+async def forward_to(board, call, member, hop="execute"):
     """Send a call to another daemon and return its answer."""
     now = time.monotonic()
     lent = call.allowance.left
-    context = make_context(board, call, lent, identifier)
+    context = make_context(board, call, lent, hop)
     signed = sign_context(board.settings.mesh_secret, context)
     headers = [*call.headers, (CONTEXT_HEADER, signed)]
-    if call.identifier and identifier is None and call.depth:
-        headers.append((IDENTIFIER_HEADER, call.identifier))
     url = f"http://{format_address(member.address)}:{member.peer_port}{call.path}"
     start_call(board.host_records, member.host)
     try:
@@ -184,7 +187,7 @@
         return me
     return choose_host(
         board.host_records,
-        board.members.hosts_of(call.service),
+        hosts_of(board.members, call.service),
         board.settings,
         time.monotonic(),
         board.random,
@@ -197,7 +200,8 @@
     """Run the call once on one host and return its answer."""
     if member.host == board.me.host:
         return await execute_here(board, call)
-    return await forward_to(board, call, member)
+    hop = "outgoing" if call.outgoing else "execute"
+    return await forward_to(board, call, member, hop)
 
 
 def refusal_tries(board, call):
@@ -260,7 +264,7 @@
         ran = True
         if not may_retry(board, call, answer, attempts):
             break
-        if len(excluded) >= len(board.members.hosts_of(call.service)):
+        if len(excluded) >= len(hosts_of(board.members, call.service)):
             excluded.clear()
     if answer is None:
         refusal = Refusal("no-host", 503, "retry; no host of the service is known")
@@ -288,7 +292,7 @@
         return None
     count(board, "throttled", target)
     return answer_refusal(
-        Refusal("throttled", 503, "retry later; a service that this needs is overloaded")
+        Refusal("throttled", 503, "retry later; a service below this is overloaded")
     )
 
 
--- a/egretlift/daemon/execution.py
+++ b/egretlift/daemon/execution.py
@@ -12,7 +12,7 @@
     request_slot,
 )
 from egretlift.blackboard import count
-from egretlift.configuration import find_organisation, has_organisation
+from egretlift.configuration import find_organisation, find_quota
 from egretlift.daemon.rate import cancel_token, draw_token, reserve_token
 from egretlift.outcome import (
     CALL_HEADER,
@@ -20,7 +20,6 @@
     IDENTIFIER_HEADER,
     ORGANISATION_HEADER,
     PRIORITY_HEADER,
-    Outcome,
     Refusal,
 )
 from egretlift.transport.forward import classify_upstream_answer, send_request
@@ -81,7 +80,7 @@
         weight=weight,
         queued_at=now,
         deadline=call.deadline,
-        kind=call.route.prefix if call.route else "",
+        kind=call.route[1] if call.route else "",
     )
     slot = board.slots[call.token] = Slot(waiting)
     apply_decisions(board, request_slot(board.admission, settings, now, waiting))
@@ -102,9 +101,7 @@
     if slot.decision is None:
         decisions = cancel_waiting(state, board.settings, now, slot.waiting)
     elif slot.decision.started:
-        decisions = release_slot(
-            state, board.settings, now, slot.waiting, None, Outcome.UNKNOWN
-        )
+        decisions = release_slot(state, board.settings, now, slot.waiting, 0.0, None)
     else:
         return
     apply_decisions(board, decisions)
@@ -136,7 +133,7 @@
         if call.key_digest is not None:
             if find_organisation(catalog, call.key_digest) != call.organisation:
                 return "key-unknown"
-        elif not has_organisation(catalog, call.organisation):
+        elif find_quota(catalog, call.organisation) is None:
             return "key-unknown"
         if call.depth == 0 and not draw_token(board, call.organisation):
             return "rate"
@@ -175,7 +172,7 @@
     started = time.monotonic()
     reason = check_dispatch(board, call)
     if reason:
-        give_back(board, waiting, None, Outcome.REFUSED_NOT_RUN)
+        give_back(board, waiting, 0.0, None)
         return refuse(reason)
     board.calls[call.token] = call
     try:
@@ -188,7 +185,7 @@
         )
     except BaseException:
         board.calls.pop(call.token, None)
-        give_back(board, waiting, None, Outcome.UNKNOWN)
+        give_back(board, waiting, 0.0, None)
         raise
     duration_s = time.monotonic() - started
     if received:
@@ -200,8 +197,7 @@
 
     def finish(whole):
         board.calls.pop(call.token, None)
-        outcome = answer.outcome if whole else Outcome.UNKNOWN
-        give_back(board, waiting, duration_s, outcome)
+        give_back(board, waiting, duration_s, answer.outcome if whole else None)
 
     answer.finish = finish
     if answer.body is not None:
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -14,7 +14,7 @@
 )
 from egretlift.daemon.announcements import publish_self
 from egretlift.daemon.watch import take_configuration
-from egretlift.daemon.zone import adopt_gossiped_lease, answer_question
+from egretlift.daemon.zone import adopt_gossiped_lease
 from egretlift.events import current_ring, observe_order, record_event
 from egretlift.membership import (
     digest_table,
@@ -145,8 +145,6 @@
         wants_objects=not missing
         and request.catalog_digest != digest_catalog(board.catalog),
     )
-    if request.HasField("question"):
-        reply.confirmation.CopyFrom(answer_question(board, request.question))
     count(board, "control_bytes", "sent", reply.ByteSize())
     return reply
 
@@ -283,9 +281,7 @@
         await anyio.sleep(SPREAD_DELAY_S)
         board.kick_gossip = anyio.Event()
         objects, board.fresh_objects = board.fresh_objects, []
-        peers = select_peers(
-            board.members, board.random, board.settings.gossip_fanout
-        )
+        peers = select_peers(board.members, board.random, board.settings.gossip_fanout)
         for peer in peers:
             board.tasks.start_soon(exchange, board, peer, objects)
 
--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -22,7 +22,11 @@
 from egretlift.daemon.operators import serve_operators
 from egretlift.daemon.ports import handle_caller, handle_peer, handle_upstream
 from egretlift.daemon.watch import follow_platform
-from egretlift.daemon.zone import keep_zone_lease, release_zone_lease
+from egretlift.daemon.zone import (
+    answer_question,
+    keep_zone_lease,
+    release_zone_lease,
+)
 from egretlift.errors import EgretliftError
 from egretlift.events import record_event, start_logging
 from egretlift.idempotency import expire_records
@@ -125,9 +129,8 @@
     settings : Settings
     """
     incarnation = int(time.time() * 1000)
-    ring = start_logging(settings.host)
+    start_logging(settings.host)
     board = Blackboard(settings, incarnation)
-    board.events = ring
     board.platform = PlatformClient(settings)
     board.sessions = {
         "upstream": open_session(settings),
@@ -138,10 +141,11 @@
         bind_board(answer_gossip, board),
         bind_board(answer_probe, board),
         bind_board(allocate_here, board),
+        bind_board(answer_question, board),
     )
     control = await serve_control(handlers, settings.address, settings.control_port)
     ports = await open_ports(board)
-    publish_self(board)
+    publish_self(board, "alive")
     record_event("started", zone=settings.zone, incarnation=incarnation)
     try:
         async with anyio.create_task_group() as tasks:
--- a/egretlift/daemon/once.py
+++ b/egretlift/daemon/once.py
@@ -11,19 +11,29 @@
 from egretlift.events import record_event
 from egretlift.idempotency import (
     ClaimState,
+    CreateResult,
+    CreateStatus,
     IdentifierKind,
     RecordState,
+    add_waiter,
     classify_identifier,
     decide_claim,
+    find_record,
     finish_record,
     forget_record,
     issue_identifier,
-    make_claim,
+    make_claim_spec,
     name_claim,
     open_record,
+    remove_waiter,
 )
 from egretlift.outcome import Outcome, Refusal
-from egretlift.transport.messages import Answer, answer_refusal, hold_body
+from egretlift.transport.messages import (
+    Answer,
+    answer_refusal,
+    close_answer,
+    hold_body,
+)
 
 # Answers of identified calls are held whole, so that a resend can be answered.
 ANSWER_LIMIT_BYTES = 1_000_000
@@ -62,14 +72,14 @@
     if not call.identifier:
         return await run_call(board, call)
     await hold_body(call.body, call.profile.body_limit_bytes)
-    found = classify_identifier(board.settings.mesh_secret, call.identifier)
-    if found.kind is IdentifierKind.INVALID:
+    kind, issued = classify_identifier(board.settings.mesh_secret, call.identifier)
+    if kind is IdentifierKind.INVALID:
         refusal = Refusal(
             "identifier-invalid", 400, "send 1 to 200 printable characters"
         )
         return answer_refusal(refusal)
-    if found.kind is IdentifierKind.ISSUED:
-        home = (found.issued.host, found.issued.incarnation)
+    if kind is IdentifierKind.ISSUED:
+        home = (issued.host, issued.incarnation)
     else:
         home = await claim_home(board, call)
         if isinstance(home, Answer):
@@ -85,26 +95,42 @@
     tuple or Answer
         An answer ``UNKNOWN`` if the platform cannot tell.
     """
-    me = (board.settings.host, board.incarnation)
-    name = name_claim(call.organisation or "", call.identifier)
-    created, current = None, None
+    result = await create_claim(board, call)
+    decision = decide_claim(result, board.me)
+    if decision.state is ClaimState.OWNED:
+        return board.settings.host, board.incarnation
+    if decision.state is ClaimState.ELSEWHERE:
+        return decision.host, decision.incarnation
+    count(board, "claims_unsettled", decision.reason)
+    return answer_unknown(
+        decision.reason,
+        "resend later with the same identifier, or use one issued by"
+        " POST /egretlift/identifiers, which needs no platform",
+    )
+
+
+async def create_claim(board, call):
+    """Try to create the claim of a caller-made identifier for this daemon.
+
+    Returns
+    -------
+    CreateResult
+    """
+    count(board, "platform_calls", "claim")
+    name = name_claim(call.organisation, call.identifier)
     try:
         with anyio.fail_after(max(remaining(call), 0.001)):
-            created = await board.platform.put_object(
-                "claim", name, make_claim(*me), version=0
+            await board.platform.put_object(
+                "claim", name, make_claim_spec(board.me), version=0
             )
     except ConflictError as error:
-        current = error.current
-    except (PlatformUnavailable, WriteUnsettled, TimeoutError) as error:
-        count(board, "claims_unsettled", type(error).__name__)
-    decision = decide_claim(created, current, me)
-    if decision.state is ClaimState.UNKNOWN:
-        return answer_unknown(
-            "claim-unknown",
-            "resend later with the same identifier, or use one issued by"
-            " POST /egretlift/identifiers, which needs no platform",
-        )
-    return decision.host, decision.incarnation
+        spec = error.current["spec"] if error.current else None
+        return CreateResult(CreateStatus.EXISTS, spec)
+    except PlatformUnavailable:
+        return CreateResult(CreateStatus.UNAVAILABLE)
+    except (WriteUnsettled, TimeoutError):
+        return CreateResult(CreateStatus.UNSETTLED)
+    return CreateResult(CreateStatus.CREATED)
 
 
 async def reach_home(board, call, home):
@@ -112,12 +138,12 @@
     host, incarnation = home
     if (host, incarnation) == (board.settings.host, board.incarnation):
         return await run_at_home(board, call)
-    member = board.members.find(host)
+    member = board.members.members.get(host)
     if member is None or member.incarnation != incarnation:
         return answer_unknown(
             "home-lost", "query the result; the daemon that knew of it is gone"
         )
-    answer = await forward_to(board, call, member, identifier=call.identifier)
+    answer = await forward_to(board, call, member, "home")
     if answer.reason == "no-connection":
         # Not run by this send, but an earlier send may have reached the home.
         answer = answer_unknown(
@@ -128,64 +154,109 @@
 
 async def run_at_home(board, call):
     """Run a call whose identifier has its home here, or answer its resend."""
-    fingerprint = fingerprint_call(call)
-    key = (call.organisation or "", call.identifier)
-    state, record = open_record(
-        board.ledger, board.settings, time.monotonic(), *key, fingerprint
+    key = (call.organisation, call.identifier)
+    _, issued = classify_identifier(board.settings.mesh_secret, call.identifier)
+    if issued is not None and issued.incarnation != board.incarnation:
+        return answer_unknown(
+            "home-lost", "query the result; the daemon that knew of it is gone"
+        )
+    state = open_record(
+        board.ledger,
+        board.settings,
+        time.monotonic(),
+        *key,
+        fingerprint_call(call),
+        expires_at=issued.expires_at if issued else None,
+        claimed=issued is None,
     )
-    if state is RecordState.FIRST:
-        board.tasks.start_soon(run_recorded, board, call, key, record)
-        return await await_record(call, record)
-    count(board, "resends", state.name.lower())
-    if state in (RecordState.RUNNING, RecordState.DONE):
-        return await await_record(call, record)
+    if state is not RecordState.FIRST:
+        count(board, "resends", state.value)
+    if state in (RecordState.FIRST, RecordState.RUNNING):
+        pending = Pending()
+        add_waiter(board.ledger, *key, pending)
+        if state is RecordState.FIRST:
+            board.tasks.start_soon(run_recorded, board, call, key)
+        return await await_record(board, call, key, pending)
+    if state is RecordState.DONE:
+        return repeat_answer(find_record(board.ledger, *key))
+    return refuse_record(state)
+
+
+class Pending:
+    """A send of an identified call that waits for the answer."""
+
+    __slots__ = ("answer", "event")
+
+    def __init__(self):
+        self.event = anyio.Event()
+        self.answer = None
+
+
+def refuse_record(state):
+    """Return the answer for a call that its record keeps from running."""
     if state is RecordState.MISMATCH:
-        refusal = Refusal(
-            "identifier-reused",
-            422,
-            "use a new identifier; this one belongs to another request",
-        )
-        return answer_refusal(refusal)
+        remedy = "use a new identifier; this one belongs to another request"
+        return answer_refusal(Refusal("identifier-reused", 422, remedy))
     if state is RecordState.FULL:
-        return answer_refusal(
-            Refusal("ledger-full", 503, "retry at another host or later")
-        )
+        remedy = "retry at another host or later"
+        return answer_refusal(Refusal("ledger-full", 503, remedy))
     if state is RecordState.EXPIRED:
-        return answer_unknown(
-            "identifier-expired", "query the result, then use a new identifier", 422
-        )
+        remedy = "query the result, then use a new identifier"
+        return answer_unknown("identifier-expired", remedy, 422)
     return answer_unknown("result-unknown", "query the result; it may have run")
 
 
-async def run_recorded(board, call, key, record):
+def repeat_answer(record):
+    """Return the kept answer of a finished call."""
+    if record.answer is not None:
+        return copy_answer(record.answer)
+    remedy = "query the result; the call has run, but its answer is no longer kept"
+    return answer_refusal(Refusal("answer-not-kept", 409, remedy, record.outcome))
+
+
+def copy_answer(kept):
+    """Return a copy of an answer that may be closed on its own."""
+    copy = Answer(kept.outcome, kept.status, kept.headers, kept.body, kept.reason)
+    copy.deeper = kept.deeper
+    return copy
+
+
+async def run_recorded(board, call, key):
     """Run a recorded call to its end, even when its caller has gone.
 
-    The record keeps ``UNKNOWN`` unless an answer says otherwise, so an error
+    The record becomes ``UNKNOWN`` unless an answer says otherwise, so an error
     here can never lead to a second run.
     """
     kept = answer_unknown("result-unknown", "query the result; it may have run")
     try:
-        kept = await run_call(board, call)
-        await hold_answer(kept)
+        answer = await run_call(board, call)
+        await hold_answer(answer)
+        kept = answer
     except Exception as error:
         record_event("call-error", call=call.call_id, error=repr(error))
     now = time.monotonic()
     if kept.outcome is Outcome.REFUSED_NOT_RUN:
-        waiters = forget_record(board.ledger, now, *key)
+        waiters = forget_record(board.ledger, *key)
     else:
         waiters = finish_record(
-            board.ledger, board.settings, now, *key, kept.outcome, kept
+            board.ledger,
+            board.settings,
+            now,
+            *key,
+            kept.outcome,
+            kept,
+            size=len(kept.body),
         )
-    record.answer = kept
-    for waiter in waiters:
-        waiter.set()
+    for waiter in waiters or ():
+        waiter.answer = copy_answer(kept)
+        waiter.event.set()
 
 
 async def hold_answer(answer):
     """Read the body of an answer whole; a truncated one becomes ``UNKNOWN``."""
-    response = answer.response
     if answer.body is not None:
         return
+    response = answer.response
     chunks, size = [], 0
     async for chunk in response.content.iter_any():
         size += len(chunk)
@@ -193,21 +264,18 @@
             raise ValueError("answer exceeds the limit of identified calls")
         chunks.append(chunk)
     answer.body = b"".join(chunks)
+    close_answer(answer, whole=True)
 
 
-async def await_record(call, record):
+async def await_record(board, call, key, pending):
     """Return the answer of a recorded call, or ``UNKNOWN`` at the deadline."""
-    if record.answer is None:
-        waiter = anyio.Event()
-        record.waiters.append(waiter)
+    try:
         with anyio.move_on_after(max(remaining(call), 0)):
-            await waiter.wait()
-    kept = record.answer
-    if kept is None:
-        return answer_unknown(
-            "deadline", "resend with the same identifier to learn the result", 504
-        )
-    copy = Answer(kept.outcome, kept.status, kept.headers, kept.body, kept.reason)
-    copy.deeper = kept.deeper
-    copy.retries_left = kept.retries_left
-    return copy
+            await pending.event.wait()
+    finally:
+        remove_waiter(board.ledger, *key, pending)
+    if pending.answer is not None:
+        return pending.answer
+    return answer_unknown(
+        "deadline", "resend with the same identifier to learn the result", 504
+    )
--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -1,9 +1,11 @@
 """The operators' port: metrics, state and events."""
 
 import json
+import math
 import time
 from urllib.parse import parse_qs
 
+import anyio
 from aioprometheus import Counter, Gauge, Registry, render
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -48,19 +50,25 @@
     }
 
 
+def describe_staleness(board):
+    """Return the age of the configuration in seconds, None if never confirmed."""
+    age = staleness(board.catalog, time.monotonic())
+    return age if age < math.inf else None
+
+
 def describe_configuration(board):
     """Return the configuration in force for the state page."""
     catalog = board.catalog
     return {
         "revision": catalog.revision,
-        "complete": catalog.complete,
-        "staleness_s": staleness(catalog, time.monotonic()),
+        "complete": board.catalog_complete,
+        "staleness_s": describe_staleness(board),
         "digest": digest_catalog(catalog),
         "objects": {
             f"{item.kind}/{item.name}": item.revision
             for item in catalog.objects.values()
         },
-        "errors": dict(catalog.errors),
+        "errors": {"/".join(entry): text for entry, text in catalog.errors.items()},
     }
 
 
@@ -76,7 +84,7 @@
         "upstream": board.upstream.status,
         "open_requests": board.open_requests,
         "configuration": describe_configuration(board),
-        "members": [encode_member(member) for member in board.members.all_members()],
+        "members": [encode_member(member) for member in board.members.members.values()],
         "limit": describe_limit(board),
         "shares": describe_shares(board),
         "allocators": describe_allocators(board),
@@ -96,14 +104,14 @@
             collector = Counter(key, text, registry=registry)
         collector.set({label_name: label}, value)
     load = describe_limit(board)
-    age = staleness(board.catalog, time.monotonic())
+    age = describe_staleness(board)
     gauges = {
         "limit": load["limit"],
         "in_flight": load["in_flight"],
         "queued": load["queued"],
         "configuration_revision": board.catalog.revision,
         "configuration_staleness_seconds": -1 if age is None else age,
-        "members": len(board.members.all_members()),
+        "members": len(board.members.members),
         "open_requests": board.open_requests,
     }
     for name, value in gauges.items():
@@ -161,6 +169,11 @@
     config.errorlog = None
     config.graceful_timeout = 1
     config.keep_alive_max_requests = 10**9
-    await serve(
-        make_application(board), config, shutdown_trigger=board.stop.wait, mode="asgi"
-    )
+    # Cancelling hypercorn leaves futures behind; it ends by its own trigger.
+    with anyio.CancelScope(shield=True):
+        await serve(
+            make_application(board),
+            config,
+            shutdown_trigger=board.stop.wait,
+            mode="asgi",
+        )
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -28,7 +28,7 @@
 from egretlift.errors import ContextForged
 from egretlift.events import record_event
 from egretlift.identity import digest_key, verify_context
-from egretlift.membership import match_route
+from egretlift.membership import hosts_of, match_route
 from egretlift.outcome import (
     CALL_HEADER,
     CAUSE_HEADER,
@@ -89,20 +89,19 @@
 
 def resolve_route(board, call, routes):
     """Set route, profile and priority of a call from announced routes."""
-    path = call.path.partition("?")[0]
-    call.route = match_route(routes, call.method, path)
+    call.route = match_route(routes, call.method, call.path)
     if call.route is None:
         raise CallRefused("no-route", 404, "use a path that the service announces")
-    call.profile = find_profile(board.catalog, call.route.profile)
+    call.profile = find_profile(board.catalog, call.route[2])
     if call.profile is None:
-        if not board.catalog.complete:
+        if not board.catalog_complete:
             raise CallRefused(
                 "configuration-missing", 503, "retry; the host is still starting"
             )
         raise CallRefused(
             "profile-unknown",
             503,
-            f"write the profile {call.route.profile!r} named by the service",
+            f"write the profile {call.route[2]!r} named by the service",
         )
 
 
@@ -112,7 +111,7 @@
     if limit is None:
         return
     age = staleness(board.catalog, time.monotonic())
-    if age is None or age > limit:
+    if age > limit:
         raise CallRefused(
             "configuration-stale",
             503,
@@ -129,7 +128,7 @@
         raise CallRefused(
             "key-missing", 401, "send the organisation's key as a bearer token"
         )
-    if not board.catalog.complete:
+    if not board.catalog_complete:
         raise CallRefused(
             "configuration-missing", 503, "retry; the host is still starting"
         )
@@ -186,7 +185,7 @@
     call.deadline = call.received_at + read_timeout(request.headers, call.profile)
     call.allowance = open_allowance(call.profile.retries)
     call.identifier = check_identifier(request.headers.get(IDENTIFIER_HEADER))
-    target = f"{call.service}{call.route.prefix}"
+    target = f"{call.service}{call.route[1]}"
     early = refuse_early(board, call, target)
     if early is not None:
         return early, call
@@ -208,7 +207,7 @@
 
 async def handle_peer(board, request):
     """Answer one request on the peer port."""
-    return await handle_call(board, request, receive_peer)
+    return await handle_call(board, request, receive_peer, make_hop_headers)
 
 
 def adopt_context(call, context):
@@ -309,6 +308,7 @@
         RequestBody(request, board.settings.body_gap_s),
     )
     call.service = service
+    call.outgoing = True
     token = request.headers.get(CALL_HEADER)
     parent = board.calls.get(token) if token else None
     if token and parent is None:
@@ -316,7 +316,7 @@
             "call-unknown", 409, "make outgoing calls only while the call runs"
         )
     call.identifier = check_identifier(request.headers.get(IDENTIFIER_HEADER))
-    members = board.members.hosts_of(service)
+    members = hosts_of(board.members, service)
     if not members:
         raise CallRefused("no-host", 503, f"retry; no host of {service} is known")
     resolve_route(board, call, members[0].routes)
@@ -371,8 +371,11 @@
     return answer
 
 
-async def handle_call(board, request, receive):
-    """Carry a call with one of the ``receive_`` functions and send its answer."""
+async def handle_call(board, request, receive, label=None):
+    """Carry a call with one of the ``receive_`` functions and send its answer.
+
+    ``label`` returns further headers for a daemon that sent the call.
+    """
     board.open_requests += 1
     call = None
     try:
@@ -400,16 +403,17 @@
                 outcome=answer.outcome.value,
                 reason=answer.reason,
             )
-        return await send_answer(request, answer, make_hop_headers(board, call, answer))
+        extra = label(board, call, answer) if label else ()
+        return await send_answer(request, answer, extra)
     finally:
         board.open_requests -= 1
 
 
 def make_hop_headers(board, call, answer):
-    """Return the headers that only daemons read; ``()`` towards others."""
-    if call is None or answer is None or call.depth is None:
-        return ()
+    """Return the headers that only daemons read."""
     headers = [(LOAD_HEADER, format_load(report_load(board.admission)))]
+    if call is None:
+        return headers
     if call.allowance is not None:
         headers.append((RETRIES_HEADER, str(call.allowance.left)))
     if answer.deeper or call.outgoing_failed:
--- a/egretlift/daemon/rate.py
+++ b/egretlift/daemon/rate.py
@@ -11,18 +11,20 @@
 import anyio
 
 from egretlift.blackboard import count
-from egretlift.configuration import find_organisation_spec
-from egretlift.quotas import available_tokens, draw_share, note_demand, open_share
+from egretlift.configuration import find_quota
+from egretlift.quotas import Share, available_tokens, count_demand, draw_share
 
-# More waiting calls than this cannot all get a token within the longest wait.
-WAITING_CALLS = 200
+# A waiting call looks again after this time, since its bucket also refills.
+LOOK_AGAIN_S = 0.02
 
 
 def find_share(board, organisation):
     """Return this host's share of an organisation's rate, opened if needed."""
     share = board.shares.get(organisation)
     if share is None:
-        share = board.shares[organisation] = open_share(organisation, time.monotonic())
+        share = board.shares[organisation] = Share(
+            organisation, board.settings.host, board.incarnation, time.monotonic()
+        )
         board.reserved[organisation] = 0
         board.share_news[organisation] = anyio.Event()
     return share
@@ -46,32 +48,25 @@
         False if no token could be had in time; then nothing is reserved.
     """
     organisation = call.organisation
-    if find_organisation_spec(board.catalog, organisation) is None:
+    if find_quota(board.catalog, organisation) is None:
         return False
     share = find_share(board, organisation)
-    note_demand(share, time.monotonic())
+    count_demand(share, time.monotonic())
     give_up_at = min(time.monotonic() + board.settings.share_wait_s, call.deadline)
-    waiting = board.share_requested_at
     while not try_reserve(board, organisation, share):
-        request_share(board, organisation)
-        wait_s = min(give_up_at - time.monotonic(), 0.02)
+        share.urgent = True
+        board.share_wanted.set()
+        wait_s = min(give_up_at - time.monotonic(), LOOK_AGAIN_S)
         if wait_s <= 0:
             return False
         with anyio.move_on_after(wait_s):
             await board.share_news[organisation].wait()
-    del waiting
     return True
 
 
-def request_share(board, organisation):
-    """Ask the allocation controller for more tokens soon."""
-    board.wanted_shares.add(organisation)
-    board.share_wanted.set()
-
-
 def draw_token(board, organisation):
     """Draw the reserved token of a call that is about to be dispatched."""
-    drawn = draw_share(board.shares[organisation], time.monotonic())
+    drawn = draw_share(board.shares[organisation], time.monotonic(), again=True)
     if not drawn:
         count(board, "draws_failed", organisation)
     return drawn
--- a/egretlift/daemon/watch.py
+++ b/egretlift/daemon/watch.py
@@ -77,7 +77,7 @@
         revision, items = await board.platform.list_objects(kind)
         revisions.append(revision)
         take_objects(board, items)
-    board.catalog.complete = True
+    board.catalog_complete = True
     confirm_freshness(board.catalog, time.monotonic(), 0.0)
     return min(revisions)
 
@@ -97,7 +97,7 @@
     # A daemon whose peers can give it the catalog need not ask the platform.
     await anyio.sleep(board.random.uniform(0, IDLE_PAUSE_S))
     while True:
-        if board.catalog.complete and not is_watcher(board):
+        if board.catalog_complete and not is_watcher(board):
             after = None
             await anyio.sleep(IDLE_PAUSE_S)
             continue
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -90,13 +90,12 @@
     if lease.held_epoch:
         wait_s = zone_lease.quarantine_s(lease, board.settings)
         board.quarantine_until = time.monotonic() + wait_s
-        board.shares_listed = False
         record_event("zone-lease-held", zone=lease.zone, epoch=lease.held_epoch)
     else:
         record_event("zone-lease-lost", zone=lease.zone)
 
 
-def answer_question(board, question):
+async def answer_question(board, question):
     """Answer the holder's question whether the platform is out for all."""
     confirmed = question.zone == board.settings.zone and zone_lease.confirm_lease(
         my_lease(board),
@@ -186,33 +185,25 @@
     if member is None or member.incarnation != standby[1]:
         return
     epoch, asked_at = lease.held_epoch, time.monotonic()
-    request = pb.GossipRequest(
-        question=pb.LeaseQuestion(
-            zone=lease.zone,
-            holder=settings.host,
-            incarnation=board.incarnation,
-            epoch=epoch,
-        )
+    question = pb.LeaseQuestion(
+        zone=lease.zone,
+        holder=settings.host,
+        incarnation=board.incarnation,
+        epoch=epoch,
     )
-    from egretlift.daemon.gossip import make_gossip
-
-    whole = make_gossip(board)
-    whole.question.CopyFrom(request.question)
     try:
         reply = await call_control(
             board.channels,
             settings.mesh_secret,
             (member.address, member.control_port),
-            "Gossip",
-            whole,
+            "Confirm",
+            question,
             settings.gossip_timeout_s,
         )
     except ControlFailed:
         return
-    if reply.confirmation.confirmed and epoch:
-        record_confirmation(
-            lease, settings, time.monotonic(), asked_at, standby, epoch
-        )
+    if reply.confirmed and epoch:
+        record_confirmation(lease, settings, time.monotonic(), asked_at, standby, epoch)
 
 
 async def release_zone_lease(board):
--- a/egretlift/identity/context.py
+++ b/egretlift/identity/context.py
@@ -17,6 +17,7 @@
 CONTEXT_LABEL = b"context\0"
 MESSAGE_LABEL = b"message\0"
 PRIORITIES = tuple(Priority)
+HOPS = ("outgoing", "home", "execute")
 # Reused, because json.dumps with separators builds an encoder for every call.
 ENCODE = json.JSONEncoder(separators=(",", ":")).encode
 DECODE = json.JSONDecoder().decode
@@ -44,8 +45,9 @@
         Identifier of an at-most-once call.
     origin_host : str
         Host whose daemon signed the context.
-    entry : str
-        Host at which the caller's request entered the mesh.
+    hop : str
+        What the receiver is to do: ``outgoing`` (find the home of the identifier,
+        if there is one), ``home`` (act as that home) or ``execute``.
     """
 
     __slots__ = (
@@ -57,7 +59,7 @@
         "depth",
         "identifier",
         "origin_host",
-        "entry",
+        "hop",
     )
 
     def __init__(
@@ -70,7 +72,7 @@
         depth,
         identifier,
         origin_host,
-        entry,
+        hop,
     ):
         self.call_id = call_id
         self.organisation = organisation
@@ -80,7 +82,7 @@
         self.depth = depth
         self.identifier = identifier
         self.origin_host = origin_host
-        self.entry = entry
+        self.hop = hop
 
     def __repr__(self):
         return f"CallContext({list_fields(self)!r})"
@@ -97,7 +99,7 @@
         context.depth,
         context.identifier,
         context.origin_host,
-        context.entry,
+        context.hop,
     ]
 
 
@@ -126,7 +128,9 @@
 
     Examples
     --------
-    >>> context = CallContext("c1", None, Priority.CRITICAL, 1.5, 2, 0, None, "a", "a")
+    >>> context = CallContext(
+    ...     "c1", None, Priority.CRITICAL, 1.5, 2, 0, None, "a", "home"
+    ... )
     >>> verify_context("s" * 16, sign_context("s" * 16, context)).remaining_s
     1.5
     """
@@ -186,11 +190,12 @@
     depth,
     identifier,
     origin_host,
-    entry,
+    hop,
 ):
     """Return whether all values have the types and ranges of a context."""
     return (
-        type(call_id) is type(origin_host) is type(entry) is str
+        type(call_id) is type(origin_host) is str
+        and hop in HOPS
         and (organisation is None or type(organisation) is str)
         and (identifier is None or type(identifier) is str)
         and type(priority) is type(retries) is type(depth) is int
--- a/egretlift/quotas/share.py
+++ b/egretlift/quotas/share.py
@@ -137,17 +137,36 @@
         False past the expiry of the share or when tokens are missing.
     """
     if not again:
-        elapsed = now - share.demand_at
-        if elapsed > 0:
-            share.demand *= math.exp(-elapsed / DEMAND_PERIOD_S)
-            share.demand_at = now
-        share.demand += count / DEMAND_PERIOD_S
+        count_demand(share, now, count)
     if now < share.expires_at and draw(share.bucket, now, count):
         return True
     share.urgent = True
     return False
 
 
+def count_demand(share, now, count=1):
+    """Add calls to the average that the next request states as demand."""
+    elapsed = now - share.demand_at
+    if elapsed > 0:
+        share.demand *= math.exp(-elapsed / DEMAND_PERIOD_S)
+        share.demand_at = now
+    share.demand += count / DEMAND_PERIOD_S
+
+
+def available_tokens(share, now):
+    """Return the tokens that could be drawn now; 0 past the expiry.
+
+    Examples
+    --------
+    >>> available_tokens(Share("studio", "h1", 1, 0.0), 0.0)
+    0.0
+    """
+    if now >= share.expires_at:
+        return 0.0
+    refill(share.bucket, now)
+    return share.bucket.tokens
+
+
 def current_demand(share, now):
     """Return the average of draws and refusals in calls/s."""
     elapsed = max(0.0, now - share.demand_at)
--- a/egretlift/transport/control.py
+++ b/egretlift/transport/control.py
@@ -38,17 +38,18 @@
     ----------
     secret : str
         Mesh secret that every request must prove to know.
-    gossip, probe, allocate : coroutine functions
+    gossip, probe, allocate, confirm : coroutine functions
         Each takes a request message and returns a reply message.
     """
 
-    __slots__ = ("allocate", "gossip", "probe", "token")
+    __slots__ = ("allocate", "confirm", "gossip", "probe", "token")
 
-    def __init__(self, secret, gossip, probe, allocate):
+    def __init__(self, secret, gossip, probe, allocate, confirm):
         self.token = make_token(secret)
         self.gossip = gossip
         self.probe = probe
         self.allocate = allocate
+        self.confirm = confirm
 
     async def _answer(self, stream, handle):
         token = str(stream.metadata.get(TOKEN_METADATA, ""))
@@ -71,6 +72,10 @@
         """Answer a request for a share of a rate."""
         await self._answer(stream, self.allocate)
 
+    async def Confirm(self, stream):  # noqa: N802
+        """Answer the question of a lease holder."""
+        await self._answer(stream, self.confirm)
+
 
 async def serve_control(handlers, address, port):
     """Start the control server and return it."""
@@ -96,7 +101,7 @@
     endpoint : tuple of (str, int)
         Address and control port.
     name : str
-        ``Gossip``, ``Probe`` or ``Allocate``.
+        ``Gossip``, ``Probe``, ``Allocate`` or ``Confirm``.
     request : protobuf message
     timeout_s : float
 
