Prove at most once by history checks under seeded faults

A second fault: meshes that started as two groups of daemons never joined, because a daemon with any peer stopped contacting its seeds. Ruled out: a repeat of the execution (each identifier ran once). Change: only the home of an identifier may answer a resend with 'not run', all others answer 'unknown'; one exchange in five goes to a seed that is not a member; zone holders write their endpoints to the platform (zone-seed).

--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -92,7 +92,6 @@
         "incarnation",
         "kick_gossip",
         "ledger",
-        "lease_endpoints",
         "lease_specs",
         "leases",
         "me",
@@ -105,6 +104,7 @@
         "random",
         "reserved",
         "sessions",
+        "seeds_written",
         "settings",
         "share_news",
         "share_objects",
@@ -117,6 +117,7 @@
         "tasks",
         "throttle",
         "upstream",
+        "zone_seeds",
         "zone_shares",
     )
 
@@ -160,7 +161,8 @@
         self.leases[settings.zone] = LeaseState(
             settings.zone, settings.host, incarnation, time.monotonic()
         )
-        self.lease_endpoints = []
+        self.zone_seeds = {}
+        self.seeds_written = None
         self.share_objects = {}
         self.share_writes = set()
         self.allocator_epoch = 0
--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -183,7 +183,8 @@
     """
     me = board.me
     own = call.service == board.upstream.service and me.host not in excluded
-    if own and not excluded and board.upstream.status == "serving":
+    serving = board.upstream.status == "serving" and not board.stopping
+    if own and not excluded and serving:
         return me
     return choose_host(
         board.host_records,
--- a/egretlift/daemon/execution.py
+++ b/egretlift/daemon/execution.py
@@ -148,7 +148,7 @@
     Answer
         The slot is held until the answer is closed.
     """
-    reason = check_upstream(board)
+    reason = "draining" if board.stopping else check_upstream(board)
     if reason:
         return refuse(reason)
     counted = call.organisation is not None and call.depth == 0
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -1,5 +1,6 @@
 """Gossip: exchange of member records, configuration and the zone lease."""
 
+import itertools
 import json
 import time
 
@@ -42,6 +43,9 @@
 OBJECTS_PER_MESSAGE = 1000
 # Part of the exchanges that go to a dead member, to find the end of a partition.
 LOST_PEER_PART = 0.2
+# Part of the exchanges that go to seeds of which no member record is known. Without
+# them, groups of daemons that started apart would never meet.
+STRANGER_PART = 0.2
 # Changes that arrive together travel in one message.
 SPREAD_DELAY_S = 0.01
 
@@ -203,16 +207,21 @@
         if lost is not None:
             return lost
     peers = select_peers(board.members, board.random, 1)
-    if peers:
-        return peers[0]
-    seeds = [
-        seed
-        for seed in board.settings.seeds
-        if seed != (board.settings.address, board.settings.control_port)
-    ]
-    lease_seeds = board.lease_endpoints
-    found = seeds or lease_seeds
-    return Endpoint(*board.random.choice(found)) if found else None
+    if not peers or board.random.random() < STRANGER_PART:
+        strangers = list_strangers(board)
+        if strangers:
+            return Endpoint(*board.random.choice(strangers))
+    return peers[0] if peers else None
+
+
+def list_strangers(board):
+    """Return endpoints from settings and the platform that no member has."""
+    known = {
+        (member.address, member.control_port)
+        for member in board.members.members.values()
+    }
+    found = {*board.settings.seeds, *itertools.chain(*board.zone_seeds.values())}
+    return sorted(found - known)
 
 
 async def check_member(board, member):
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -1,5 +1,6 @@
 """Handlers of the caller, upstream and peer ports."""
 
+import contextlib
 import json
 import time
 
@@ -75,6 +76,29 @@
         self.refusal = Refusal(reason, status, remedy)
 
 
+def is_identified(call):
+    """Return whether an earlier send of the same call may have run.
+
+    Without a profile, as on a host that has just restarted, it may have.
+    """
+    return bool(call.identifier and (call.profile is None or call.profile.at_most_once))
+
+
+@contextlib.contextmanager
+def doubt_refusals(doubt):
+    """Turn refusals into ``UNKNOWN`` if an earlier send may have run.
+
+    Only the home of an identifier knows whether its call was run, so nobody else
+    may answer a resend with "not run".
+    """
+    try:
+        yield
+    except CallRefused as error:
+        if doubt():
+            error.refusal.outcome = Outcome.UNKNOWN
+        raise
+
+
 def read_timeout(headers, profile):
     """Return the time limit of a call in seconds, capped by its profile."""
     text = headers.get(TIMEOUT_HEADER)
@@ -175,19 +199,22 @@
         select_request_headers(request.headers, keep_authorization=False),
         RequestBody(request, board.settings.body_gap_s),
     )
-    if board.stopping:
-        raise CallRefused("stopping", 503, "retry at another host")
     call.service = board.upstream.service
-    resolve_route(board, call, board.upstream.routes)
-    authenticate(board, call, request.headers)
-    check_staleness(board, call.profile)
+    call.identifier = check_identifier(request.headers.get(IDENTIFIER_HEADER))
+    with doubt_refusals(lambda: is_identified(call)):
+        if not call.service:
+            raise CallRefused("no-upstream", 503, "retry at another host")
+        resolve_route(board, call, board.upstream.routes)
+        authenticate(board, call, request.headers)
+        check_staleness(board, call.profile)
     call.priority = call.profile.priority
     call.deadline = call.received_at + read_timeout(request.headers, call.profile)
     call.allowance = open_allowance(call.profile.retries)
-    call.identifier = check_identifier(request.headers.get(IDENTIFIER_HEADER))
     target = f"{call.service}{call.route[1]}"
     early = refuse_early(board, call, target)
     if early is not None:
+        if is_identified(call):
+            early.outcome = Outcome.UNKNOWN
         return early, call
     await hold_small_body(call)
     if call.profile.at_most_once:
@@ -221,6 +248,17 @@
     call.identifier = context.identifier
 
 
+def accept_peer_call(board, call):
+    """Check a call from another daemon against this host's own routes."""
+    if not board.upstream.service:
+        raise CallRefused("no-upstream", 503, "retry at another host")
+    resolve_route(board, call, board.upstream.routes)
+    if call.organisation is None and not call.profile.open_to_all:
+        raise CallRefused("key-missing", 401, "make the call within a keyed call")
+    if call.depth:
+        check_staleness(board, call.profile)
+
+
 async def receive_peer(board, request):
     """Carry a call that another daemon sent and return (answer, call)."""
     text = request.headers.get(CONTEXT_HEADER, "")
@@ -239,13 +277,8 @@
     )
     adopt_context(call, context)
     call.service = board.upstream.service
-    if not board.upstream.service:
-        raise CallRefused("no-upstream", 503, "retry at another host")
-    resolve_route(board, call, board.upstream.routes)
-    if call.organisation is None and not call.profile.open_to_all:
-        raise CallRefused("key-missing", 401, "make the call within a keyed call")
-    if call.depth:
-        check_staleness(board, call.profile)
+    with doubt_refusals(lambda: context.hop == "home"):
+        accept_peer_call(board, call)
     await hold_small_body(call)
     if context.hop == "home":
         await hold_body(call.body, call.profile.body_limit_bytes)
--- a/egretlift/daemon/watch.py
+++ b/egretlift/daemon/watch.py
@@ -15,12 +15,17 @@
     decode_object,
     merge_objects,
 )
-from egretlift.daemon.zone import adopt_lease, adopt_zone_share, is_watcher
+from egretlift.daemon.zone import (
+    adopt_lease,
+    adopt_seeds,
+    adopt_zone_share,
+    is_watcher,
+)
 from egretlift.errors import EgretliftError
 from egretlift.events import record_event
 
 CONFIGURATION_KINDS = ("profile", "organisation", "key")
-WATCHED_KINDS = (*CONFIGURATION_KINDS, "zone-lease", "zone-share")
+WATCHED_KINDS = (*CONFIGURATION_KINDS, "zone-lease", "zone-share", "zone-seed")
 RETRY_PAUSE_S = 0.5
 IDLE_PAUSE_S = 0.2
 
@@ -36,6 +41,8 @@
             adopt_lease(board, item, now)
         elif item["kind"] == "zone-share":
             adopt_zone_share(board, item, now)
+        elif item["kind"] == "zone-seed":
+            adopt_seeds(board, item)
     take_configuration(board, configuration, "platform")
 
 
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -153,6 +153,7 @@
     """Renew or take over the zone lease for as long as the daemon runs."""
     board.tasks.start_soon(confirm_zone_lease, board)
     board.tasks.start_soon(keep_zone_shares, board)
+    board.tasks.start_soon(publish_seeds, board)
     lease, settings = my_lease(board), board.settings
     # Read before the first write, so that an existing lease is respected.
     await anyio.sleep(settings.gossip_period_s * board.random.uniform(0.2, 0.6))
@@ -221,6 +222,42 @@
     record_event("zone-lease-released", zone=lease.zone)
 
 
+def adopt_seeds(board, item):
+    """Take over the endpoints at which new daemons can join a zone."""
+    endpoints = item["spec"].get("endpoints", ())
+    board.zone_seeds[item["name"]] = [tuple(endpoint) for endpoint in endpoints]
+
+
+async def publish_seeds(board):
+    """Write the endpoints of the holder and its standbys for new daemons.
+
+    Zones find each other, and restarted hosts the mesh, through these objects.
+    """
+    while True:
+        await anyio.sleep(board.settings.gossip_period_s)
+        await publish_seeds_once(board)
+
+
+async def publish_seeds_once(board):
+    """Write the zone's seeds if this host holds the lease and they changed."""
+    lease = my_lease(board)
+    if not lease.held_epoch:
+        return
+    hosts = [lease.lease.holder, *(host for host, _ in lease.lease.standbys)]
+    found = (board.members.members.get(host) for host in hosts)
+    endpoints = [[member.address, member.control_port] for member in found if member]
+    if endpoints == board.seeds_written:
+        return
+    count(board, "platform_calls", "zone-seed")
+    try:
+        await board.platform.put_object(
+            "zone-seed", lease.zone, {"endpoints": endpoints}
+        )
+    except EgretliftError:
+        return
+    board.seeds_written = endpoints
+
+
 def find_allocator(board, organisation, now):
     """Return the allocator of an organisation, opened empty if needed.
 
--- /dev/null
+++ b/integration/faults.py
@@ -0,0 +1,166 @@
+"""Seeded schedules of faults against a running mesh.
+
+::
+
+    schedule = make_schedule(random, mesh, duration_s=8.0)
+    attempts, executions = run_faulty(mesh, plan, schedule)
+
+A schedule is a list of (seconds from the start, action), where an action is a
+function without arguments. Every fault is undone before the schedule ends.
+"""
+
+import functools
+import json
+import time
+
+import anyio
+
+from standins.load import run_load
+from standins.mesh import (
+    freeze_process,
+    is_running,
+    kill_process,
+    read_all_executions,
+    resume_process,
+    set_behaviour,
+    set_faults,
+    set_link,
+    start_process,
+)
+
+SETTLE_S = 1.0
+
+
+def kill_daemon(mesh, random, at, length_s):
+    """Kill a daemon and start it again, empty, a moment later."""
+    name = f"daemon/{random.choice(list(mesh.hosts))}"
+    return [
+        (at, functools.partial(kill_if_running, mesh, name)),
+        (at + length_s / 3, functools.partial(start_if_stopped, mesh, name)),
+    ]
+
+
+def kill_if_running(mesh, name):
+    """Kill a process unless another fault holds it."""
+    if is_running(mesh, name) and name not in mesh.frozen:
+        kill_process(mesh, name)
+
+
+def start_if_stopped(mesh, name):
+    """Start a process that has been killed."""
+    if not is_running(mesh, name):
+        start_process(mesh, name)
+
+
+def freeze_daemon(mesh, random, at, length_s):
+    """Pause a daemon past its leases and let it go on."""
+    name = f"daemon/{random.choice(list(mesh.hosts))}"
+
+    def freeze():
+        if is_running(mesh, name):
+            freeze_process(mesh, name)
+
+    def resume():
+        if name in mesh.frozen:
+            resume_process(mesh, name)
+
+    return [(at, freeze), (at + length_s, resume)]
+
+
+def fail_link(mesh, random, at, length_s):
+    """Cut, freeze, delay or half-break the links from one zone to another."""
+    zones = sorted({host["zone"] for host in mesh.hosts.values()})
+    source, target = random.sample(zones, 2)
+    fault = random.choice(
+        (
+            {"mode": "cut"},
+            {"mode": "freeze"},
+            {"lost": "to-client"},
+            {"lost": "to-target"},
+            {"delay_s": 0.7},
+        )
+    )
+    heal = {"mode": "pass", "lost": None, "delay_s": 0.0}
+    return [
+        (at, functools.partial(set_link, mesh, source, target, **fault)),
+        (at + length_s, functools.partial(set_link, mesh, source, target, **heal)),
+    ]
+
+
+def fail_platform(mesh, random, at, length_s):
+    """Let the platform fail, be slow or lose answers of writes."""
+    fault = random.choice(
+        ({"outage": True}, {"delay_s": 0.5}, {"lost_write_share": 0.5})
+    )
+    heal = {"outage": False, "delay_s": 0.0, "lost_write_share": 0.0}
+    return [
+        (at, functools.partial(set_faults, mesh, **fault)),
+        (at + length_s, functools.partial(set_faults, mesh, **heal)),
+    ]
+
+
+def fail_upstream(mesh, random, at, length_s):
+    """Let an upstream lose, delay or truncate answers after it ran the call."""
+    host = random.choice(list(mesh.hosts))
+    fault = random.choice(
+        ({"lost_share": 0.5}, {"answer_delay_s": 0.8}, {"truncated_share": 0.5})
+    )
+    heal = {"lost_share": 0.0, "answer_delay_s": 0.0, "truncated_share": 0.0}
+    return [
+        (at, functools.partial(set_behaviour, mesh, host, **fault)),
+        (at + length_s, functools.partial(set_behaviour, mesh, host, **heal)),
+    ]
+
+
+FAULTS = (kill_daemon, freeze_daemon, fail_link, fail_platform, fail_upstream)
+
+
+def make_schedule(random, mesh, duration_s, count=6, faults=FAULTS, longest_s=3.0):
+    """Return a schedule of random faults, ordered by time."""
+    schedule = []
+    for _ in range(count):
+        fault = random.choice(faults)
+        length_s = random.uniform(0.3, longest_s)
+        at = random.uniform(0.5, max(0.6, duration_s - length_s - 0.5))
+        schedule.extend(fault(mesh, random, at, length_s))
+    return sorted(schedule, key=lambda entry: entry[0])
+
+
+async def follow_schedule(schedule):
+    """Carry out a schedule; actions that fail raise."""
+    started = time.monotonic()
+    for at, action in schedule:
+        await anyio.sleep(max(0.0, started + at - time.monotonic()))
+        await anyio.to_thread.run_sync(action)
+
+
+async def run_together(plan, schedule):
+    """Run a load and a schedule of faults side by side; return the totals."""
+    totals = {}
+
+    async def load():
+        totals.update(await run_load(plan))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load)
+        tasks.start_soon(follow_schedule, schedule)
+    return totals
+
+
+def run_faulty(mesh, plan, schedule):
+    """Run a load under faults and return its history.
+
+    Returns
+    -------
+    attempts : list of dict
+        Records of the load generator.
+    executions : dict of str to list of dict
+        Records of the upstreams by host.
+    totals : dict
+    """
+    path = mesh.directory / f"attempts-{plan.get('name', 'r')}.jsonl"
+    totals = anyio.run(run_together, {**plan, "records_path": str(path)}, schedule)
+    time.sleep(SETTLE_S)
+    with open(path) as file:
+        attempts = [json.loads(line) for line in file]
+    return attempts, read_all_executions(mesh), totals
