--- /dev/null
+++ b/egretlift/admission/limit.py
@@ -0,0 +1,486 @@
+"""Adaptive concurrency limit of one upstream.
+
+The limit is found from the durations and failures of finished calls. While the
+number of calls in flight is within the upstream's capacity, a duration is the
+service time; beyond it, calls queue inside the upstream and durations grow in
+proportion to the calls in flight. A *round* observes the calls started during
+it and yields their slowdown: observed durations relative to the baselines.
+
+A high slowdown alone does not tell a full upstream from a slow one. Rounds at
+clearly different concurrency do: if the slowdown falls with the concurrency,
+calls were queueing and the baseline stands; if it does not, the upstream itself
+has become slower and the baseline is raised. Periodic dips, rounds at a reduced
+limit, provide this comparison and lower a baseline that was learned under
+overload. The baseline therefore cannot creep upward while overload lasts.
+"""
+
+import math
+
+from egretlift.outcome import Outcome
+
+# Slowdown above which the limit falls. The upstream holds this many calls per
+# slot at most, which keeps every slot busy despite noise.
+SLOWDOWN_LIMIT = 1.4
+# Slowdown aimed at by a decrease, and slowdown up to which growth accelerates.
+SLOWDOWN_TARGET = 1.3
+SLOWDOWN_FREE = 1.15
+# Slowdown below which the baseline is taken to be too high.
+SLOWDOWN_FAST = 0.9
+# Part of the limit used during a dip. Times SLOWDOWN_LIMIT it is below 1, so an
+# inflated baseline shrinks with every dip.
+DIP_FRACTION = 0.6
+# A round at this part of the previous round's concurrency can be compared to it.
+COMPARABLE = 0.75
+DECREASE_MINIMUM = 0.4
+STEP_MINIMUM = 0.1
+STEP_MAXIMUM = 1.0
+# Additional failures, as a fraction of calls, that count as overload.
+FAILURE_MARGIN = 0.1
+ROUND_MINIMUM = 16
+ROUND_MAXIMUM = 128
+DIP_MINIMUM = 10
+DIP_MAXIMUM = 25
+# Part of a round's weight that must be finished. Waiting for the slowest calls
+# would delay every reaction; ignoring more of them would bias the mean.
+ROUND_FINISHED = 0.95
+# A dip costs at most 40% of capacity, hence 2% when it takes 1/20 of the time.
+DIP_SPACING = 20
+# The same while the limit is at its minimum, where only a dip can show that the
+# baseline is too low.
+DIP_SPACING_MINIMUM = 5
+DIP_PERIOD_S = 1.0
+# Calls averaged into the first baseline. The first calls to *start* are taken,
+# since the first to finish are the shortest.
+LEARNING = 16
+LEARNING_FINISHED = 14
+# A round older than this number of rounds is not compared to any more.
+REFERENCE_ROUNDS = 8
+LATE_SMOOTHING = 8
+STARTS_DECAY = 0.8
+KINDS_MAXIMUM = 64
+OTHER_KIND = "other"
+# Steps whose balance makes the typical duration the lower quartile: a call with
+# less time left would not finish in three cases of four.
+TYPICAL_RISE = 1.04
+TYPICAL_FALL = 1.12
+SERVICE_SMOOTHING = 0.05
+DURATION_MINIMUM_S = 1e-6
+# Time after which one call may test a typical duration that refuses all calls.
+STALE_S = 0.1
+
+
+class KindLatency:
+    """Durations of one kind of call.
+
+    ``baseline`` is the mean service time without queueing and None until it is
+    learned, ``typical`` the lower quartile of recent durations, both in seconds.
+    ``sampled_at`` is the time of the last sample, ``checked_at`` of the last
+    sample or test, ``starts`` the decaying number of calls started.
+    """
+
+    __slots__ = (
+        "baseline",
+        "checked_at",
+        "learned",
+        "learning",
+        "sampled_at",
+        "starts",
+        "total",
+        "typical",
+    )
+
+    def __init__(self):
+        self.baseline = None
+        self.typical = 0.0
+        self.learning = 0
+        self.learned = 0
+        self.total = 0.0
+        self.starts = 0.0
+        self.sampled_at = -math.inf
+        self.checked_at = -math.inf
+
+
+class Round:
+    """Calls started during one observation, and what is known of them.
+
+    Each call weighs the inverse of its kind's baseline, so that the delay is
+    estimated mostly from short calls, whose durations vary least.
+    """
+
+    __slots__ = (
+        "concurrency",
+        "dip",
+        "excess",
+        "excess_squares",
+        "failures",
+        "finished",
+        "finished_weight",
+        "held",
+        "late_kinds",
+        "opened_at",
+        "pending",
+        "quota",
+        "samples",
+        "tagged",
+        "weight",
+    )
+
+    def __init__(self, now, quota, dip):
+        self.opened_at = now
+        self.quota = quota
+        self.dip = dip
+        self.late_kinds = ()
+        self.held = False
+        self.tagged = 0
+        self.concurrency = 0
+        self.weight = 0.0
+        self.finished = 0
+        self.finished_weight = 0.0
+        self.excess = 0.0
+        self.excess_squares = 0.0
+        self.failures = 0
+        self.pending = set()
+        self.samples = {}
+
+
+class LimitState:
+    """Concurrency limit and what it is derived from.
+
+    ``limit`` is the limit found so far, ``ceiling`` the one in force, which is
+    lower during a dip. ``service_s`` is the mean duration over all kinds.
+    """
+
+    __slots__ = (
+        "ceiling",
+        "dip_due",
+        "dip_took_s",
+        "failure_floor",
+        "kinds",
+        "limit",
+        "reference",
+        "reference_age",
+        "restore",
+        "round",
+        "service_s",
+        "step",
+    )
+
+    def __init__(self, settings):
+        self.limit = float(settings.limit_initial)
+        self.ceiling = self.limit
+        self.kinds = {}
+        self.round = Round(0.0, count_round(self.limit), False)
+        self.reference = None
+        self.reference_age = 0
+        self.restore = 0.0
+        self.step = STEP_MAXIMUM
+        self.failure_floor = 0.0
+        self.dip_due = 0.0
+        self.dip_took_s = 0.0
+        self.service_s = 0.0
+
+
+def count_round(limit):
+    """Return the number of calls that a round observes."""
+    return int(min(max(limit, ROUND_MINIMUM), ROUND_MAXIMUM))
+
+
+def find_kind(state, kind):
+    """Return the durations of a kind; kinds beyond the maximum share one."""
+    found = state.kinds.get(kind)
+    if found is None:
+        if len(state.kinds) >= KINDS_MAXIMUM:
+            kind = OTHER_KIND
+        found = state.kinds.setdefault(kind, KindLatency())
+    return found
+
+
+def is_hopeless(state, now, waiting):
+    """Return whether the remaining time cannot cover the typical duration.
+
+    When no call of the kind has finished for a while, the typical duration may
+    be outdated and one call is let through to test it; otherwise a slow period
+    could refuse all calls for ever.
+    """
+    remaining_s = waiting.deadline - now
+    if remaining_s <= 0:
+        return True
+    kind = state.kinds.get(waiting.kind)
+    if kind is None or remaining_s >= kind.typical:
+        return False
+    return now - kind.checked_at <= STALE_S
+
+
+def record_start(state, now, waiting, in_flight):
+    """Observe a call that starts; ``in_flight`` includes it."""
+    waiting.started_at = now
+    kind = find_kind(state, waiting.kind)
+    if waiting.deadline - now < kind.typical:
+        kind.checked_at = now
+    if kind.baseline is None:
+        if kind.learning < LEARNING:
+            kind.learning += 1
+            waiting.round = kind
+        return
+    kind.starts += 1
+    current = state.round
+    if current.tagged >= current.quota:
+        return
+    waiting.round = current
+    waiting.baseline = kind.baseline
+    current.tagged += 1
+    current.concurrency += in_flight
+    current.weight += 1 / kind.baseline
+    current.pending.add(waiting)
+    if current.dip and current.tagged == current.quota:
+        state.ceiling = state.limit
+        state.dip_took_s = now - current.opened_at
+
+
+def record_end(state, settings, now, waiting, duration_s, outcome):
+    """Observe a call that ended.
+
+    Parameters
+    ----------
+    state : LimitState
+    settings : Settings
+    now : float
+        Monotonic time in seconds.
+    waiting : Waiting
+        The call, as passed to `record_start`.
+    duration_s : float
+        Time at the upstream in seconds.
+    outcome : Outcome or None
+        None if the call was abandoned, which says nothing about the upstream.
+    """
+    observer = waiting.round
+    kind = find_kind(state, waiting.kind)
+    if outcome is None:
+        if observer is state.round:
+            forget_call(observer, waiting)
+        elif observer is kind:
+            kind.learning -= 1
+        return
+    duration_s = max(duration_s, DURATION_MINIMUM_S)
+    whole = outcome is Outcome.WHOLE
+    # A fast failure is no service; a slow one shows at least its duration.
+    if whole or duration_s > kind.typical:
+        learn_typical(state, kind, now, duration_s)
+    if observer is state.round:
+        finish_call(observer, waiting, duration_s, whole)
+        if (
+            observer.tagged >= observer.quota
+            and observer.finished_weight >= ROUND_FINISHED * observer.weight
+        ):
+            close_round(state, settings, now)
+    elif observer is kind:
+        learn_baseline(kind, duration_s, whole)
+    elif observer is not None and whole and waiting.kind in observer.late_kinds:
+        kind.baseline += (duration_s - kind.baseline) / LATE_SMOOTHING
+
+
+def learn_typical(state, kind, now, duration_s):
+    """Update the typical durations."""
+    if now - kind.sampled_at > STALE_S:
+        kind.typical = duration_s
+    elif duration_s > kind.typical:
+        kind.typical *= TYPICAL_RISE
+    else:
+        kind.typical /= TYPICAL_FALL
+    kind.sampled_at = kind.checked_at = now
+    state.service_s += (duration_s - state.service_s) * SERVICE_SMOOTHING
+
+
+def learn_baseline(kind, duration_s, whole):
+    """Add one of the first calls to the first baseline."""
+    if not whole:
+        kind.learning -= 1
+        return
+    kind.total += duration_s
+    kind.learned += 1
+    if kind.learned >= LEARNING_FINISHED:
+        kind.baseline = kind.total / kind.learned
+
+
+def forget_call(current, waiting):
+    """Remove a call from an open round."""
+    current.pending.discard(waiting)
+    current.tagged -= 1
+    current.concurrency *= current.tagged / (current.tagged + 1)
+    current.weight -= 1 / waiting.baseline
+
+
+def finish_call(current, waiting, duration_s, whole):
+    """Add a finished call to its open round."""
+    current.pending.discard(waiting)
+    weight = 1 / waiting.baseline
+    current.finished += 1
+    current.finished_weight += weight
+    if not whole:
+        current.failures += 1
+    if whole or duration_s > waiting.baseline:
+        add_sample(current, waiting, duration_s)
+
+
+def add_sample(current, waiting, duration_s):
+    """Add a duration to a round."""
+    excess = duration_s / waiting.baseline - 1
+    current.excess += excess
+    current.excess_squares += excess * excess
+    sample = current.samples.setdefault(waiting.kind, [0, 0.0])
+    sample[0] += 1
+    sample[1] += duration_s
+
+
+def mean_baseline(state):
+    """Return the mean baseline over recent starts, and let their counts decay.
+
+    It is smoothed over several rounds, since few calls of a long kind in a round
+    would make it jump.
+    """
+    starts = total = 0.0
+    for kind in state.kinds.values():
+        if kind.baseline is not None:
+            starts += kind.starts
+            total += kind.starts * kind.baseline
+            kind.starts *= STARTS_DECAY
+    return total / starts
+
+
+def measure_round(state, current):
+    """Return (slowdown, its standard error) of a round.
+
+    The delay is the weighted mean excess over the baselines. A slowdown is the
+    delay relative to the mean baseline of the calls started, which by Little's
+    law is the number of calls in flight per busy slot, whatever the mix.
+    """
+    scale = 1 / mean_baseline(state) / current.weight
+    spread = current.excess_squares - current.excess**2 / current.tagged
+    spread = max(0.0, spread)
+    return max(1 + current.excess * scale, 0.0), math.sqrt(spread) * scale
+
+
+def move_baselines(state, current):
+    """Move the baselines of a round's kinds to what the round observed."""
+    for name, (count, total) in current.samples.items():
+        kind = find_kind(state, name)
+        kind.baseline += (total / count - kind.baseline) * count / (count + 2)
+
+
+def falls_less(value, previous, concurrency, previous_concurrency):
+    """Return whether a value fell less than halfway with the concurrency.
+
+    Examples
+    --------
+    >>> falls_less(9.5, 10.0, 60, 100), falls_less(6.2, 10.0, 60, 100)
+    (True, False)
+    """
+    return value >= previous * (1 + concurrency / previous_concurrency) / 2
+
+
+def close_round(state, settings, now):
+    """Adjust baselines and limit to a finished round and open the next."""
+    current = state.round
+    current.late_kinds = {w.kind for w in current.pending} - current.samples.keys()
+    for waiting in current.pending:
+        add_sample(current, waiting, max(now - waiting.started_at, waiting.baseline))
+    slowdown, error = measure_round(state, current)
+    concurrency = current.concurrency / current.tagged
+    failed = current.failures / max(1, current.finished)
+    compared = steady = False
+    if state.reference and concurrency <= COMPARABLE * state.reference[1]:
+        compared = True
+        earlier, wider, failed_earlier = state.reference
+        steady = falls_less(slowdown, earlier, concurrency, wider)
+        if failed > 0 and falls_less(failed, failed_earlier, concurrency, wider):
+            state.failure_floor = max(state.failure_floor, failed)
+    if failed < state.failure_floor:
+        state.failure_floor += (failed - state.failure_floor) / 2
+    lowered = slowdown < SLOWDOWN_FAST and slowdown + 2 * error < 1
+    if lowered:
+        state.dip_due = now
+    if not steady:
+        current.late_kinds = ()
+    slowdown_there = max(0.0, slowdown - error)
+    if steady:
+        slowdown_there = earlier / max(slowdown, SLOWDOWN_FAST)
+    if steady or lowered:
+        move_baselines(state, current)
+        slowdown = 1.0
+    if not lowered:
+        adjust_limit(state, settings, current, slowdown_there, failed, steady)
+    renew_reference(state, compared or lowered, (slowdown, concurrency, failed))
+    if current.dip:
+        state.dip_due = now + max(DIP_PERIOD_S, DIP_SPACING * state.dip_took_s)
+    elif state.limit <= settings.limit_minimum and slowdown > SLOWDOWN_LIMIT:
+        soon = now + DIP_SPACING_MINIMUM * state.dip_took_s
+        state.dip_due = min(state.dip_due, soon)
+    open_round(state, now, current.held)
+
+
+def renew_reference(state, compared, measured):
+    """Keep the round that later rounds at less concurrency are compared to."""
+    state.reference_age += 1
+    if (
+        compared
+        or state.reference is None
+        or measured[1] >= state.reference[1]
+        or state.reference_age > REFERENCE_ROUNDS
+    ):
+        state.reference = measured
+        state.reference_age = 0
+
+
+def adjust_limit(state, settings, current, slowdown, failed, steady):
+    """Raise or lower the limit after a round.
+
+    ``slowdown`` is the one at the limit, less its standard error. After a dip at
+    which nothing was faster it is the ratio of the two rounds.
+    """
+    more_failures = failed > state.failure_floor + FAILURE_MARGIN
+    limit = state.limit
+    used = current.held or current.concurrency / current.tagged > limit / 2
+    if steady and state.restore:
+        # The decrease that led here was unwarranted: the upstream is slow, not
+        # overcommitted.
+        limit = max(limit, state.restore)
+        state.restore = 0.0
+    elif used and (slowdown > SLOWDOWN_LIMIT or more_failures):
+        state.restore = max(state.restore, limit)
+        base = limit * DIP_FRACTION if current.dip else limit
+        factor = SLOWDOWN_TARGET / slowdown if slowdown else 1.0
+        if more_failures:
+            factor = min(factor, DIP_FRACTION)
+        limit = base * min(max(factor, DECREASE_MINIMUM), 1.0)
+        state.step = STEP_MINIMUM
+    else:
+        state.restore = 0.0
+        if current.held and failed <= 0.5:
+            limit += grow(state, limit, slowdown)
+    state.limit = min(max(limit, settings.limit_minimum), settings.limit_maximum)
+
+
+def grow(state, limit, slowdown):
+    """Return the increase of a limit that is used and not exceeded.
+
+    The step doubles while there is no slowdown at all, so that a limit far below
+    capacity reaches it in a few rounds; near capacity it is one call.
+    """
+    if slowdown > SLOWDOWN_FREE:
+        state.step = max(STEP_MINIMUM, state.step / 2)
+        return 1.0
+    increase = max(1.0, state.step * limit)
+    state.step = min(STEP_MAXIMUM, 2 * state.step)
+    return increase
+
+
+def open_round(state, now, held):
+    """Open the next round, a dip if one is due and the limit is used."""
+    dip = held and now >= state.dip_due
+    if dip:
+        quota = int(min(max(state.limit / 2, DIP_MINIMUM), DIP_MAXIMUM))
+        state.ceiling = max(1.0, state.limit * DIP_FRACTION)
+    else:
+        quota = count_round(state.limit)
+        state.ceiling = state.limit
+    state.round = Round(now, quota, dip)
--- /dev/null
+++ b/egretlift/admission/tests/simulation.py
@@ -0,0 +1,91 @@
+"""Deterministic simulation of one upstream behind the admission queue."""
+
+import heapq
+import itertools
+import random
+from collections import deque
+
+from egretlift.admission import (
+    AdmissionState,
+    Waiting,
+    expire_waiting,
+    release_slot,
+    request_slot,
+)
+from egretlift.outcome import Outcome, Priority
+
+
+class Upstream:
+    """Slots with an unbounded internal queue in order of arrival.
+
+    ``service(now, kind, random)`` returns a service time in seconds.
+    """
+
+    def __init__(self, settings, slots, service, seed=1):
+        self.settings = settings
+        self.slots = slots
+        self.service = service
+        self.random = random.Random(seed)
+        self.state = AdmissionState(settings)
+        self.events = []
+        self.order = itertools.count()
+        self.inside = deque()
+        self.busy = 0
+        self.finished = []
+        self.refused = []
+        self.limits = []
+        self.outcome = lambda: Outcome.WHOLE
+
+    def schedule(self, at, action, *arguments):
+        heapq.heappush(self.events, (at, next(self.order), action, arguments))
+
+    def add_load(self, start, end, rate, timeout_s=1.0, mix=None):
+        """Add Poisson arrivals; mix lists (priority, kind, organisation)."""
+        mix = mix or [(Priority.INTERACTIVE, None, "a")]
+        at = start
+        while (at := at + self.random.expovariate(rate)) < end:
+            priority, kind, organisation = self.random.choice(mix)
+            waiting = Waiting("c", organisation, priority, 1, at, at + timeout_s, kind)
+            self.schedule(at, self.arrive, waiting)
+
+    def apply(self, now, decisions):
+        for decision in decisions:
+            if not decision.started:
+                self.refused.append((now, decision.waiting, decision.reason))
+                continue
+            self.inside.append((now, decision.waiting))
+        while self.inside and self.busy < self.slots:
+            started, waiting = self.inside.popleft()
+            self.busy += 1
+            duration = self.service(now, waiting.kind, self.random)
+            self.schedule(now + duration, self.finish, started, waiting)
+
+    def arrive(self, now, waiting):
+        self.apply(now, request_slot(self.state, self.settings, now, waiting))
+
+    def finish(self, now, started, waiting):
+        self.busy -= 1
+        self.finished.append((now, waiting))
+        state, settings, outcome = self.state, self.settings, self.outcome()
+        took_s = now - started
+        self.apply(now, release_slot(state, settings, now, waiting, took_s, outcome))
+
+    def expire(self, now):
+        self.limits.append((now, self.state.limit.limit))
+        self.apply(now, expire_waiting(self.state, self.settings, now))
+
+    def run(self, until):
+        for tick in range(int(until * 50)):
+            self.schedule(tick / 50, self.expire)
+        while self.events and self.events[0][0] < until:
+            now, _, action, arguments = heapq.heappop(self.events)
+            action(now, *arguments)
+
+    def goodput(self, start, end, chosen=lambda waiting: True):
+        """Return calls finished in time per second."""
+        whole = sum(
+            1
+            for at, waiting in self.finished
+            if start <= at < end and at <= waiting.deadline and chosen(waiting)
+        )
+        return whole / (end - start)
