Make the adaptive limit robust to noise and to failures

Cause: a dip right after a decrease was judged wrongly and left the limit at its minimum; one noisy dip halved the baseline; failures that set in above a level were taken to be independent of load. Change: compare by the geometric mean, no dip while a decrease is being judged, cautious lowering of baselines, failures judged over a range of concurrency.

--- a/egretlift/admission/limit.py
+++ b/egretlift/admission/limit.py
@@ -36,6 +36,8 @@
 STEP_MAXIMUM = 1.0
 # Additional failures, as a fraction of calls, that count as overload.
 FAILURE_MARGIN = 0.1
+# Part of the concurrency at which failures began down to which it is reduced.
+FAILURE_RANGE = 0.25
 ROUND_MINIMUM = 16
 ROUND_MAXIMUM = 128
 DIP_MINIMUM = 10
@@ -46,8 +48,8 @@
 # A dip costs at most 40% of capacity, hence 2% when it takes 1/20 of the time.
 DIP_SPACING = 20
 # The same while the limit is at its minimum, where only a dip can show that the
-# baseline is too low.
-DIP_SPACING_MINIMUM = 5
+# baseline is too low. An upstream that needs so low a limit stays busy in a dip.
+DIP_SPACING_MINIMUM = 1
 DIP_PERIOD_S = 1.0
 # Calls averaged into the first baseline. The first calls to *start* are taken,
 # since the first to finish are the shortest.
@@ -56,6 +58,10 @@
 # A round older than this number of rounds is not compared to any more.
 REFERENCE_ROUNDS = 8
 LATE_SMOOTHING = 8
+# Standard errors beyond which a change of the baseline is certain, and the
+# relative error attributed to the baseline itself.
+DOUBT = 4
+BASELINE_ERROR = 0.15
 STARTS_DECAY = 0.8
 KINDS_MAXIMUM = 64
 OTHER_KIND = "other"
@@ -154,6 +160,7 @@
         "ceiling",
         "dip_due",
         "dip_took_s",
+        "failing_from",
         "failure_floor",
         "kinds",
         "limit",
@@ -175,6 +182,7 @@
         self.restore = 0.0
         self.step = STEP_MAXIMUM
         self.failure_floor = 0.0
+        self.failing_from = None
         self.dip_due = 0.0
         self.dip_took_s = 0.0
         self.service_s = 0.0
@@ -360,22 +368,36 @@
     return max(1 + current.excess * scale, 0.0), math.sqrt(spread) * scale
 
 
-def move_baselines(state, current):
-    """Move the baselines of a round's kinds to what the round observed."""
+def move_baselines(state, current, slowdown, error):
+    """Move the baselines of a round's kinds towards what the round observed.
+
+    A rise and a fall beyond doubt are taken over at once, a smaller fall in
+    proportion to the precision of the round: a baseline too low closes the limit,
+    one too high costs some latency until the next dip.
+    """
+    slowdown = max(slowdown, 1e-3)
+    error = max(error, 1e-3) / slowdown
+    share = 1.0
+    if -DOUBT * error < math.log(slowdown) < 0:
+        share = BASELINE_ERROR**2 / (BASELINE_ERROR**2 + error**2)
     for name, (count, total) in current.samples.items():
         kind = find_kind(state, name)
-        kind.baseline += (total / count - kind.baseline) * count / (count + 2)
+        mean_s = total / count
+        kind.baseline += (mean_s - kind.baseline) * share * count / (count + 2)
 
 
 def falls_less(value, previous, concurrency, previous_concurrency):
-    """Return whether a value fell less than halfway with the concurrency.
+    """Return whether a value fell clearly less than the concurrency.
+
+    The boundary is the geometric mean of no fall and a proportional one, since a
+    large reduction also crosses the point at which queueing ends.
 
     Examples
     --------
     >>> falls_less(9.5, 10.0, 60, 100), falls_less(6.2, 10.0, 60, 100)
     (True, False)
     """
-    return value >= previous * (1 + concurrency / previous_concurrency) / 2
+    return value >= previous * math.sqrt(concurrency / previous_concurrency)
 
 
 def close_round(state, settings, now):
@@ -390,12 +412,8 @@
     compared = steady = False
     if state.reference and concurrency <= COMPARABLE * state.reference[1]:
         compared = True
-        earlier, wider, failed_earlier = state.reference
+        earlier, wider = state.reference
         steady = falls_less(slowdown, earlier, concurrency, wider)
-        if failed > 0 and falls_less(failed, failed_earlier, concurrency, wider):
-            state.failure_floor = max(state.failure_floor, failed)
-    if failed < state.failure_floor:
-        state.failure_floor += (failed - state.failure_floor) / 2
     lowered = slowdown < SLOWDOWN_FAST and slowdown + 2 * error < 1
     if lowered:
         state.dip_due = now
@@ -405,17 +423,43 @@
     if steady:
         slowdown_there = earlier / max(slowdown, SLOWDOWN_FAST)
     if steady or lowered:
-        move_baselines(state, current)
+        move_baselines(state, current, slowdown, error)
         slowdown = 1.0
     if not lowered:
-        adjust_limit(state, settings, current, slowdown_there, failed, steady)
-    renew_reference(state, compared or lowered, (slowdown, concurrency, failed))
+        failing = judge_failures(state, settings, current, concurrency, failed)
+        adjust_limit(state, settings, current, slowdown_there, failing, steady)
+    renew_reference(state, compared or lowered, (slowdown, concurrency))
     if current.dip:
         state.dip_due = now + max(DIP_PERIOD_S, DIP_SPACING * state.dip_took_s)
     elif state.limit <= settings.limit_minimum and slowdown > SLOWDOWN_LIMIT:
         soon = now + DIP_SPACING_MINIMUM * state.dip_took_s
         state.dip_due = min(state.dip_due, soon)
-    open_round(state, now, current.held)
+    # A decrease can be compared by itself; a dip on top would delay it.
+    settled = not state.restore or state.limit <= settings.limit_minimum
+    open_round(state, now, current.held and settled)
+
+
+def judge_failures(state, settings, current, concurrency, failed):
+    """Return whether a round's failures call for a lower limit.
+
+    Failures that persist at a small part of the concurrency at which they began
+    do not come from overload; the limit then returns to where it was, and only
+    additional failures count.
+    """
+    error = math.sqrt(failed * (1 - failed) / max(1, current.finished))
+    if failed - 2 * error <= state.failure_floor + FAILURE_MARGIN:
+        state.failing_from = None
+        state.failure_floor = min(state.failure_floor, failed + error)
+        return False
+    if state.failing_from is None:
+        state.failing_from = (concurrency, state.limit)
+    began, limit = state.failing_from
+    if concurrency > FAILURE_RANGE * began and state.limit > settings.limit_minimum:
+        return True
+    state.failure_floor = failed + error
+    state.failing_from = None
+    state.limit = limit
+    return False
 
 
 def renew_reference(state, compared, measured):
@@ -431,31 +475,30 @@
         state.reference_age = 0
 
 
-def adjust_limit(state, settings, current, slowdown, failed, steady):
+def adjust_limit(state, settings, current, slowdown, failing, steady):
     """Raise or lower the limit after a round.
 
     ``slowdown`` is the one at the limit, less its standard error. After a dip at
     which nothing was faster it is the ratio of the two rounds.
     """
-    more_failures = failed > state.failure_floor + FAILURE_MARGIN
     limit = state.limit
     used = current.held or current.concurrency / current.tagged > limit / 2
-    if steady and state.restore:
+    if steady and state.restore and not failing:
         # The decrease that led here was unwarranted: the upstream is slow, not
         # overcommitted.
         limit = max(limit, state.restore)
         state.restore = 0.0
-    elif used and (slowdown > SLOWDOWN_LIMIT or more_failures):
+    elif used and (slowdown > SLOWDOWN_LIMIT or failing):
         state.restore = max(state.restore, limit)
         base = limit * DIP_FRACTION if current.dip else limit
         factor = SLOWDOWN_TARGET / slowdown if slowdown else 1.0
-        if more_failures:
+        if failing:
             factor = min(factor, DIP_FRACTION)
         limit = base * min(max(factor, DECREASE_MINIMUM), 1.0)
         state.step = STEP_MINIMUM
     else:
         state.restore = 0.0
-        if current.held and failed <= 0.5:
+        if current.held and current.failures <= current.finished / 2:
             limit += grow(state, limit, slowdown)
     state.limit = min(max(limit, settings.limit_minimum), settings.limit_maximum)
 
@@ -474,9 +517,9 @@
     return increase
 
 
-def open_round(state, now, held):
-    """Open the next round, a dip if one is due and the limit is used."""
-    dip = held and now >= state.dip_due
+def open_round(state, now, may_dip):
+    """Open the next round, a dip if one is due and possible."""
+    dip = may_dip and now >= state.dip_due
     if dip:
         quota = int(min(max(state.limit / 2, DIP_MINIMUM), DIP_MAXIMUM))
         state.ceiling = max(1.0, state.limit * DIP_FRACTION)
--- a/egretlift/admission/tests/test_limit.py
+++ b/egretlift/admission/tests/test_limit.py
@@ -115,7 +115,7 @@
 class TestFailures(unittest.TestCase):
     """Guards against failures that are ignored, or that close the limit for good."""
 
-    def fail(self, failing):
+    def run_failing(self, failing):
         """Run 2 times load with ``failing(upstream, random)`` deciding failures."""
         upstream = Upstream(Settings(), 60, vary(0.05, 0.3))
         upstream.outcome = lambda: (
@@ -128,10 +128,10 @@
         return upstream
 
     def test_failures_of_overload(self):
-        upstream = self.fail(lambda u, random: u.state.in_flight > 40)
+        upstream = self.run_failing(lambda u, random: u.state.in_flight > 40)
         late = [limit for at, limit in upstream.limits if at > 5]
         self.assertLess(sum(late) / len(late), 60)
 
     def test_failures_regardless_of_load(self):
-        upstream = self.fail(lambda u, random: random.random() < 0.3)
+        upstream = self.run_failing(lambda u, random: random.random() < 0.3)
         self.assertGreaterEqual(upstream.goodput(5, 15), 0.95 * 1200)
