Add the retry allowance, budget and records of repeated calls

Cause: retries of one request must stay bounded over the call chain, and those of a daemon relative to first attempts. Change: egretlift/retries. Conclusion: a stateful property test (300 runs of up to 60 steps: call, parallel call, retry, repeat, answer, lost answer, answer before the calls below) finds no tree that spends more than its total.

--- /dev/null
+++ b/egretlift/retries/__init__.py
@@ -0,0 +1,45 @@
+"""Retries: allowance of a request, budget per target, and repeated calls."""
+
+from egretlift.retries.allowance import (
+    Allowance,
+    close_allowance,
+    lend,
+    open_allowance,
+    settle,
+    spend_retry,
+)
+from egretlift.retries.budget import (
+    RetryBudget,
+    RetryBudgets,
+    find_budget,
+    may_retry,
+    record_request,
+    spend_budget,
+)
+from egretlift.retries.repeats import (
+    RepeatRecords,
+    charge_repeat,
+    fingerprint_request,
+    had_failure,
+    record_end,
+)
+
+__all__ = [
+    "Allowance",
+    "RepeatRecords",
+    "RetryBudget",
+    "RetryBudgets",
+    "charge_repeat",
+    "close_allowance",
+    "find_budget",
+    "fingerprint_request",
+    "had_failure",
+    "lend",
+    "may_retry",
+    "open_allowance",
+    "record_end",
+    "record_request",
+    "settle",
+    "spend_budget",
+    "spend_retry",
+]
--- /dev/null
+++ b/egretlift/retries/tests/test_retries.py
@@ -0,0 +1,162 @@
+"""Tests of allowance, budget and repeated calls."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from nose2.tools import params
+
+from egretlift.outcome import Outcome
+from egretlift.retries import (
+    RepeatRecords,
+    RetryBudget,
+    RetryBudgets,
+    charge_repeat,
+    close_allowance,
+    find_budget,
+    had_failure,
+    lend,
+    may_retry,
+    open_allowance,
+    record_end,
+    record_request,
+    settle,
+    spend_budget,
+    spend_retry,
+)
+from egretlift.retries.budget import TARGETS_MAXIMUM
+from egretlift.retries.repeats import FINGERPRINTS_MAXIMUM
+from egretlift.settings import Settings
+
+
+class AllowanceTree(RuleBasedStateMachine):
+    """A call tree of any shape; a failure here would multiply retries."""
+
+    def __init__(self):
+        super().__init__()
+        self.total = 5
+        self.spent = 0
+        # Nodes are [allowance, parent, lent to it by the parent].
+        self.nodes = [[open_allowance(self.total), None, 0]]
+
+    @rule(at=st.integers(0, 99), keep=st.integers(0, 2))
+    def call(self, at, keep):
+        parent = self.nodes[at % len(self.nodes)]
+        lent = lend(parent[0], keep)
+        self.nodes.append([open_allowance(lent), parent, lent])
+
+    @rule(at=st.integers(0, 99))
+    def retry(self, at):
+        self.spent += spend_retry(self.nodes[at % len(self.nodes)][0])
+
+    @rule(at=st.integers(0, 99))
+    def repeat(self, at):
+        records = RepeatRecords()
+        record_end(records, b"x", Outcome.UNKNOWN)
+        allowance = self.nodes[at % len(self.nodes)][0]
+        self.spent += charge_repeat(records, b"x", allowance)
+
+    @precondition(lambda self: len(self.nodes) > 1)
+    @rule(at=st.integers(0, 99), lost=st.booleans(), excess=st.integers(0, 9))
+    def answer(self, at, lost, excess):
+        # Calls below the one that answers may still be running.
+        allowance, parent, lent = self.nodes.pop(1 + at % (len(self.nodes) - 1))
+        untouched = allowance.left == lent
+        if lost:
+            # It may run on and spend all it has.
+            self.spent += close_allowance(allowance)
+            settle(parent[0], lent, None)
+        else:
+            # A claim of more than was lent is not believed.
+            claim = close_allowance(allowance) + (excess if untouched else 0)
+            settle(parent[0], lent, claim)
+
+    @invariant()
+    def never_more_than_the_total(self):
+        left = sum(node[0].left for node in self.nodes)
+        assert self.spent + left <= self.total
+        assert all(n[0].left >= 0 and n[0].lent >= 0 for n in self.nodes)
+
+
+TestAllowanceTree = AllowanceTree.TestCase
+TestAllowanceTree.settings = settings(
+    derandomize=True, deadline=None, max_examples=300, stateful_step_count=60
+)
+
+
+class TestAllowance(unittest.TestCase):
+    """Guards against loans that differ from the design."""
+
+    def test_loans(self):
+        allowance = open_allowance(5)
+        self.assertEqual([lend(allowance), lend(allowance)], [5, 0])
+        settle(allowance, 5, 3)
+        self.assertEqual([lend(allowance), lend(allowance)], [2, 1])
+
+    def test_lost_response_with_a_kept_retry(self):
+        allowance = open_allowance(2)
+        settle(allowance, lend(allowance, keep=1), None)
+        self.assertEqual(
+            [spend_retry(allowance), spend_retry(allowance)], [True, False]
+        )
+
+
+class TestBudget(unittest.TestCase):
+    """Guards against retries beyond their share of first attempts."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.booleans(), max_size=400))
+    def test_share(self, steps):
+        budget, chosen = RetryBudget(), Settings()
+        first = retried = 0
+        for is_first in steps:
+            if is_first:
+                first += 1
+                record_request(budget, chosen, 0.0)
+            else:
+                retried += spend_budget(budget, chosen, 0.0)
+        self.assertLessEqual(retried, 1 + 0.1 * first + 1e-6)
+        self.assertLessEqual(budget.tokens, chosen.retry_burst)
+
+    @params(
+        ("budget", 1, 1, 9, True, 0),
+        ("budget", 0, 1, 1, False, 0),
+        ("budget", 1, 0, 1, False, 1),
+        ("fixed", 0, 0, 2, True, 0),
+        ("fixed", 9, 9, 3, False, 9),
+        ("none", 9, 9, 1, False, 9),
+    )
+    def test_policies(self, policy, left, tokens, tries, allowed, left_after):
+        allowance, budget = open_allowance(left), RetryBudget()
+        budget.tokens = tokens
+        chosen = Settings({"retry_policy": policy})
+        retry = may_retry(allowance, budget, chosen, 0.0, tries)
+        self.assertEqual((retry, allowance.left), (allowed, left_after))
+
+    def test_new_targets_do_not_mint_tokens(self):
+        budgets = RetryBudgets()
+        found = {id(find_budget(budgets, str(n))) for n in range(2 * TARGETS_MAXIMUM)}
+        self.assertEqual(len(found), TARGETS_MAXIMUM + 1)
+
+
+class TestRepeats(unittest.TestCase):
+    """Guards against an upstream's own retry loop that costs nothing."""
+
+    @params(Outcome.REFUSED_NOT_RUN, Outcome.FAILED_WAS_RUN, Outcome.UNKNOWN)
+    def test_repeat_is_charged(self, outcome):
+        records, allowance = RepeatRecords(), open_allowance(1)
+        self.assertTrue(charge_repeat(records, b"a", allowance))
+        record_end(records, b"a", outcome)
+        self.assertTrue(had_failure(records))
+        self.assertTrue(charge_repeat(records, b"b", allowance))
+        answers = [charge_repeat(records, b"a", allowance) for _ in range(2)]
+        self.assertEqual(answers, [True, False])
+        record_end(records, b"a", Outcome.WHOLE)
+        self.assertTrue(charge_repeat(records, b"a", allowance))
+
+    def test_many_failures_charge_everything(self):
+        records = RepeatRecords()
+        for n in range(FINGERPRINTS_MAXIMUM + 1):
+            record_end(records, str(n).encode(), Outcome.UNKNOWN)
+        self.assertFalse(charge_repeat(records, b"new", open_allowance(0)))
