Merge admission, retries and routing; wire them to the daemon

Cause: the simple versions had no budget, throttle or load-aware choice. Change: the real policy packages; lent retries keep one for a lost answer; overload further down the chain is reported upwards (deeper-overload) so that the entry can refuse early.

--- a/egretlift/admission/queue.py
+++ b/egretlift/admission/queue.py
@@ -118,12 +118,13 @@
     which an organisation that had nothing waiting starts again.
     """
 
-    __slots__ = ("calls", "clock", "heap", "organisations", "tags")
+    __slots__ = ("calls", "clock", "entries", "heap", "organisations", "tags")
 
     def __init__(self):
         self.calls = OrderedDict()
         self.organisations = {}
         self.heap = []
+        self.entries = 0
         self.tags = {}
         self.clock = 0.0
 
@@ -163,7 +164,8 @@
     if calls is None:
         calls = queue.organisations[organisation] = OrderedDict()
         tag = max(queue.tags.get(organisation, 0.0), queue.clock)
-        heapq.heappush(queue.heap, (tag, id(calls), organisation))
+        queue.entries += 1
+        heapq.heappush(queue.heap, (tag, queue.entries, organisation))
     calls[waiting] = None
 
 
@@ -185,7 +187,7 @@
         Take the organisation's newest call instead of its oldest.
     """
     while True:
-        tag, order, organisation = queue.heap[0]
+        tag, _, organisation = queue.heap[0]
         calls = queue.organisations[organisation]
         if calls:
             break
@@ -195,7 +197,8 @@
     queue.clock = tag
     tag += 1 / max(waiting.weight, 1e-3)
     queue.tags[organisation] = tag
-    heapq.heapreplace(queue.heap, (tag, order, organisation))
+    queue.entries += 1
+    heapq.heapreplace(queue.heap, (tag, queue.entries, organisation))
     remove_call(queue, waiting)
     if len(queue.tags) > ORGANISATIONS_MAXIMUM:
         queue.tags = {o: t for o, t in queue.tags.items() if t > queue.clock}
@@ -277,7 +280,7 @@
         return critical
     if background.calls:
         share = max(1.0, settings.background_share * state.limit.ceiling)
-        if not interactive.calls or state.in_flight_by[2] + 1 <= share:
+        if not interactive.calls or state.in_flight_by[2] < share:
             return background
     return interactive if interactive.calls else None
 
--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -13,7 +13,7 @@
 from egretlift.idempotency import Ledger
 from egretlift.membership import Member, MemberTable
 from egretlift.quotas import LeaseState
-from egretlift.retries import RetryBudget
+from egretlift.retries import RetryBudgets
 from egretlift.routing import HostRecords
 
 
@@ -80,7 +80,7 @@
         "admission",
         "allocator_epoch",
         "allocators",
-        "budget",
+        "budgets",
         "calls",
         "catalog",
         "catalog_complete",
@@ -142,8 +142,8 @@
         self.members = MemberTable(settings.host)
         self.catalog = Catalog()
         self.admission = AdmissionState(settings)
-        self.throttle = ThrottleState()
-        self.budget = RetryBudget()
+        self.throttle = ThrottleState(settings)
+        self.budgets = RetryBudgets()
         self.host_records = HostRecords()
         self.ledger = Ledger()
         self.counters = Counters()
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -20,9 +20,8 @@
 from egretlift.daemon.calls import (
     LOAD_REASONS,
     Call,
-    learn_acceptance,
-    refuse_early,
     run_call,
+    run_throttled,
 )
 from egretlift.daemon.execution import execute_here
 from egretlift.daemon.once import issue, run_at_home, run_once
@@ -34,8 +33,10 @@
     CALL_HEADER,
     CAUSE_HEADER,
     CONTEXT_HEADER,
+    FAILURE_DEEPER,
     IDENTIFIER_HEADER,
     LOAD_HEADER,
+    OVERLOAD_DEEPER,
     RETRIES_HEADER,
     TIMEOUT_HEADER,
     Outcome,
@@ -45,9 +46,11 @@
 from egretlift.retries import (
     RepeatRecords,
     charge_repeat,
-    finish_repeat,
+    close_allowance,
+    fingerprint_request,
     lend,
     open_allowance,
+    record_end,
     settle,
 )
 from egretlift.transport.messages import (
@@ -211,17 +214,11 @@
     call.deadline = call.received_at + read_timeout(request.headers, call.profile)
     call.allowance = open_allowance(call.profile.retries)
     target = f"{call.service}{call.route[1]}"
-    early = refuse_early(board, call, target)
-    if early is not None:
-        if is_identified(call):
-            early.outcome = Outcome.UNKNOWN
-        return early, call
     await hold_small_body(call)
-    if call.profile.at_most_once:
-        answer = await run_once(board, call)
-    else:
-        answer = await run_call(board, call)
-    learn_acceptance(board, call, target, answer)
+    run = run_once if call.profile.at_most_once else run_call
+    answer = await run_throttled(board, call, target, run)
+    if answer.reason == "throttled" and is_identified(call):
+        answer.outcome = Outcome.UNKNOWN
     return answer, call
 
 
@@ -378,30 +375,36 @@
 
 async def run_outgoing(board, call, parent):
     """Run an outgoing call on the allowance of its parent call."""
-    fingerprint = (call.method, call.service, call.path, call.identifier)
-    lent = 0
-    if parent is not None:
-        if parent.repeats is None:
-            parent.repeats = RepeatRecords()
-        if board.settings.retry_policy == "budget" and not charge_repeat(
-            parent.repeats, fingerprint, parent.allowance
-        ):
-            count(board, "repeats_refused", call.service)
-            raise CallRefused(
-                "retries-spent", 503, "do not repeat; the retries are used up"
-            )
-        lent = lend(parent.allowance)
-        call.allowance = open_allowance(lent)
-    answer = refuse_early(board, call, call.service)
-    if answer is None:
-        answer = await run_call(board, call)
-        learn_acceptance(board, call, call.service, answer)
-    if parent is not None:
-        settle(parent.allowance, lent, call.allowance.left)
-        finish_repeat(parent.repeats, fingerprint, answer.outcome is Outcome.WHOLE)
-        parent.outgoing_failed |= answer.outcome is not Outcome.WHOLE
-        parent.outgoing_refused |= answer.reason in LOAD_REASONS
-    return answer
+    if parent is None:
+        return await run_throttled(board, call, call.service, run_call)
+    fingerprint = fingerprint_request(
+        call.service,
+        call.method,
+        call.path,
+        (call.body.data or b"") + (call.identifier or "").encode(),
+    )
+    if parent.repeats is None:
+        parent.repeats = RepeatRecords()
+    if board.settings.retry_policy == "budget" and not charge_repeat(
+        parent.repeats, fingerprint, parent.allowance
+    ):
+        count(board, "repeats_refused", call.service)
+        raise CallRefused(
+            "retries-spent", 503, "do not repeat; the retries are used up"
+        )
+    lent = lend(parent.allowance)
+    call.allowance = open_allowance(lent)
+    outcome = Outcome.UNKNOWN
+    try:
+        answer = await run_throttled(board, call, call.service, run_call)
+        outcome = answer.outcome
+        refused = answer.reason in LOAD_REASONS or answer.refused_deeper
+        parent.outgoing_refused |= refused
+        return answer
+    finally:
+        settle(parent.allowance, lent, close_allowance(call.allowance))
+        record_end(parent.repeats, fingerprint, outcome)
+        parent.outgoing_failed |= outcome is not Outcome.WHOLE
 
 
 async def handle_call(board, request, receive, label=None):
@@ -448,9 +451,12 @@
     if call is None:
         return headers
     if call.allowance is not None:
-        headers.append((RETRIES_HEADER, str(call.allowance.left)))
-    if answer.deeper or call.outgoing_failed:
-        headers.append((CAUSE_HEADER, "deeper"))
+        left = close_allowance(call.allowance)
+        headers.append((RETRIES_HEADER, str(left)))
+    if call.outgoing_refused or answer.refused_deeper:
+        headers.append((CAUSE_HEADER, OVERLOAD_DEEPER))
+    elif call.outgoing_failed or answer.deeper:
+        headers.append((CAUSE_HEADER, FAILURE_DEEPER))
     return headers
 
 
--- a/egretlift/routing/__init__.py
+++ b/egretlift/routing/__init__.py
@@ -1,20 +1,27 @@
-# ruff: noqa
-class HostRecords:
-    __slots__ = ()
-
-
-def choose_host(records, members, settings, now, random, zone, excluded):
-    m = [x for x in members if x.host not in excluded]
-    return random.choice(m) if m else None
-
-
-def record_answer(*a):
-    pass
-
-
-def start_call(*a):
-    pass
-
-
-def finish_call(*a):
-    pass
+"""Routing: choice of the host that executes a call."""
+
+from egretlift.routing.hosts import (
+    HostRecord,
+    HostRecords,
+    choose_host,
+    finish_call,
+    is_ejected,
+    rank_hosts,
+    record_answer,
+    record_refused_connection,
+    retain_hosts,
+    start_call,
+)
+
+__all__ = [
+    "HostRecord",
+    "HostRecords",
+    "choose_host",
+    "finish_call",
+    "is_ejected",
+    "rank_hosts",
+    "record_answer",
+    "record_refused_connection",
+    "retain_hosts",
+    "start_call",
+]
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -8,6 +8,7 @@
     CAUSE_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    OVERLOAD_DEEPER,
     REASON_HEADER,
     RETRIES_HEADER,
     Outcome,
@@ -165,7 +166,9 @@
     """Set the fields of an answer that came from another daemon."""
     answer.outcome = read_outcome(headers.get(OUTCOME_HEADER))
     answer.reason = headers.get(REASON_HEADER, "")
-    answer.deeper = headers.get(CAUSE_HEADER) == "deeper"
+    cause = headers.get(CAUSE_HEADER, "")
+    answer.deeper = bool(cause)
+    answer.refused_deeper = cause == OVERLOAD_DEEPER
     answer.load = headers.get(LOAD_HEADER)
     left = headers.get(RETRIES_HEADER, "")
     answer.retries_left = int(left) if left.isdigit() else None
--- a/egretlift/transport/messages.py
+++ b/egretlift/transport/messages.py
@@ -139,6 +139,8 @@
 
     ``body`` holds the whole body; if it is None the body is still on
     ``response``. ``finish`` is called once with whether the body was whole.
+    ``deeper`` says that a failure was caused by a call further down the chain, and
+    ``refused_deeper`` that such a call was refused for load.
     """
 
     __slots__ = (
@@ -149,6 +151,7 @@
         "load",
         "outcome",
         "reason",
+        "refused_deeper",
         "response",
         "retries_left",
         "status",
@@ -163,6 +166,7 @@
         self.response = None
         self.retries_left = None
         self.deeper = False
+        self.refused_deeper = False
         self.load = None
         self.finish = None
 
