--- a/egretlift/admission/__init__.py
+++ b/egretlift/admission/__init__.py
@@ -13,17 +13,31 @@
     report_load,
     request_slot,
 )
+from egretlift.admission.throttle import (
+    ThrottleState,
+    record_accepted,
+    record_refused,
+    record_sent,
+    refusal_probabilities,
+    should_refuse,
+)
 
 __all__ = [
     "AdmissionState",
     "Decision",
     "Load",
+    "ThrottleState",
     "Waiting",
     "cancel_waiting",
     "expire_waiting",
     "format_load",
     "parse_load",
+    "record_accepted",
+    "record_refused",
+    "record_sent",
+    "refusal_probabilities",
     "release_slot",
     "report_load",
     "request_slot",
+    "should_refuse",
 ]
