--- /dev/null
+++ b/egretlift/idempotency/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of identifiers, the ledger and claims."""
