Open a new connection for each reachability check of the mesh tests

Cause: test_links_between_zones failed in 1 of 12 runs, and in 5 of 20 runs with five suites at once: the minimal daemon reused a kept-alive connection, on which a cut appears as ClientOSError instead of a refused connection. Change: a new connection for each check; the assertion is unchanged. Conclusion: the fault was in the test's daemon, not in the proxy.

--- a/standins/tests/fake_daemon.py
+++ b/standins/tests/fake_daemon.py
@@ -36,8 +36,14 @@
         if request.path == "/reach":
             url = f"http://127.0.0.1:{request.query['port']}/"
             timeout = aiohttp.ClientTimeout(total=0.3)
+            # A new connection each time: on a kept-alive one, a cut is seen as a
+            # reset or as a refusal, depending on timing.
+            connector = aiohttp.TCPConnector(force_close=True)
             try:
-                async with session.get(url, timeout=timeout) as reached:
+                async with (
+                    open_session(connector=connector, timeout=timeout) as fresh,
+                    fresh.get(url) as reached,
+                ):
                     return web.json_response({"reached": reached.status})
             except (aiohttp.ClientError, TimeoutError) as error:
                 return web.json_response({"reached": type(error).__name__})
