Use the organisation's weight in the queue and bound failure events

Cause: the queue was given the profile's goodput weight, which says nothing about fairness between organisations; and each refusal wrote a log line, which under overload costs more than the refusal. Change: the weight of the organisation; at most 20 call-not-whole events a second, the rest counted.

--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -74,6 +74,8 @@
         Epoch and host of the holder of each zone's lease.
     allocators : dict of str to Allocator
         Allocators by organisation while this host holds its zone's lease.
+    reported : list of int
+        Second of the monotonic clock and the failures reported in it.
     stopping : bool
         Whether a graceful stop has begun.
     """
@@ -107,6 +109,7 @@
         "quotas",
         "random",
         "sessions",
+        "reported",
         "seeds_written",
         "settings",
         "share_objects",
@@ -176,6 +179,7 @@
         self.platform_reached_at = None
         self.platform_failed_at = None
         self.open_requests = 0
+        self.reported = [0, 0]
         self.stopping = False
         self.stop = anyio.Event()
         self.kick_gossip = anyio.Event()
--- a/egretlift/daemon/execution.py
+++ b/egretlift/daemon/execution.py
@@ -72,12 +72,12 @@
 async def enter_queue(board, call):
     """Wait for a slot of the upstream and return (waiting, refusal reason)."""
     settings, now = board.settings, time.monotonic()
-    weight = call.profile.weight if call.profile else 1.0
+    quota = find_quota(board.catalog, call.organisation)
     waiting = Waiting(
         call_id=call.token,
         organisation=call.organisation or "",
         priority=call.priority,
-        weight=weight,
+        weight=quota.weight if quota else 1.0,
         queued_at=now,
         deadline=call.deadline,
         kind=call.route[1] if call.route else "",
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -69,6 +69,7 @@
 # Deeper chains than this are taken for a loop in the call graph.
 DEEPEST_CALL = 32
 OUTGOING_PREFIX = "/call/"
+EVENTS_PER_SECOND = 20
 
 
 class CallRefused(Exception):
@@ -433,18 +434,34 @@
             )
         count(board, "answers", f"{answer.outcome.value}/{answer.reason}")
         if answer.outcome is not Outcome.WHOLE:
-            record_event(
-                "call-not-whole",
-                call=call.call_id if call else "",
-                outcome=answer.outcome.value,
-                reason=answer.reason,
-            )
+            report_failure(board, call, answer)
         extra = label(board, call, answer) if label else ()
         return await send_answer(request, answer, extra)
     finally:
         board.open_requests -= 1
 
 
+def report_failure(board, call, answer):
+    """Record an answer that is not whole, up to a number of events a second.
+
+    Under overload most answers are refusals; logging each would cost more than
+    refusing it.
+    """
+    second = int(time.monotonic())
+    if board.reported[0] != second:
+        board.reported = [second, 0]
+    board.reported[1] += 1
+    if board.reported[1] > EVENTS_PER_SECOND:
+        count(board, "events_suppressed", "call-not-whole")
+        return
+    record_event(
+        "call-not-whole",
+        call_id=call.call_id if call else "",
+        outcome=answer.outcome.value,
+        reason=answer.reason,
+    )
+
+
 def make_hop_headers(board, call, answer):
     """Return the headers that only daemons read."""
     headers = [(LOAD_HEADER, format_load(report_load(board.admission)))]
