--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -19,6 +19,7 @@
     record_confirmation,
     resize_allocator,
     start_allocator,
+    zone_demand,
     zone_lease,
     zone_shares,
 )
@@ -98,8 +99,7 @@
     board.allocators = {}
     board.zone_shares = {}
     if lease.held_epoch:
-        wait_s = zone_lease.quarantine_s(lease, board.settings)
-        board.quarantine_until = time.monotonic() + wait_s
+        board.quarantine_until = lease.opens_at
         record_event("zone-lease-held", zone=lease.zone, epoch=lease.held_epoch)
     else:
         record_event("zone-lease-lost", zone=lease.zone)
@@ -324,16 +324,17 @@
     rate, burst, _ = fit_allocator(board, allocator, now)
     if rate <= 0:
         return None
-    zone_shares.plan_transfer(state, allocator.demand, rate, burst)
+    zone_shares.record_demand(state, now, zone_demand(allocator, settings, now))
+    zone_shares.plan_transfer(state, now, rate, burst)
     _, _, part = fit_allocator(board, allocator, now)
-    within = is_within(allocator, settings, *part)
+    within = is_within(allocator, settings, now, *part)
     lost = [
         zone
         for zone, lease in board.leases.items()
         if zone != settings.zone and zone_lease.is_lost(lease, settings)
     ]
     return zone_shares.plan_reclaim(state, now, lost) or zone_shares.plan_write(
-        state, settings, now, allocator.demand, rate, burst, within
+        state, settings, now, rate, burst, within
     )
 
 
