Hand out tokens instead of rate to hosts with small buckets

Cause: an organisation of 10/s with a burst of 10 over 9 hosts got only 5.9/s of the 7.5/s it sent. Its hosts held rate shares with buckets of about one token, which were full most of the time and lost what they gained. Ruled out: zone transfers (the organisation's zones were steady) and lost replies. Change: a host whose part of the burst is under 4 tokens and whose demand is under 10/s gets tokens only; a burst under 5 per zone stays in one zone, whose holder serves the hosts of all zones; a large one is divided evenly when its object is created.

--- a/egretlift/daemon/rate.py
+++ b/egretlift/daemon/rate.py
@@ -83,7 +83,8 @@
     """
     own = find_share(board, organisation, board.settings.zone)
     own.urgent = True
-    if asked == 1:
+    # An own zone that granted nothing last time is not waited for again.
+    if asked == 1 or (asked == 0 and own.number and not own.bucket.burst):
         others = [zone for zone in board.holders if zone != board.settings.zone]
         chosen = board.random.sample(others, min(ZONES_ASKED, len(others)))
         for zone in chosen:
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -316,6 +316,29 @@
     return rate, burst, part
 
 
+def list_other_zones(board):
+    """Return the other zones whose holder is known and alive."""
+    found = []
+    for zone, (_, holder) in board.holders.items():
+        member = board.members.members.get(holder)
+        alive = member is not None and member.status == "alive"
+        if alive and zone != board.settings.zone:
+            found.append(zone)
+    return sorted(found)
+
+
+def draws_elsewhere(board, state, burst):
+    """Return whether this zone's hosts can draw on the zone that holds the rate.
+
+    While they can, the zone asks for no part of a small burst.
+    """
+    holding = [zone for zone in state.zones if zone_shares.seen_share(state, zone)]
+    if not zone_shares.is_small(burst, len(board.holders)):
+        return False
+    others = list_other_zones(board)
+    return any(zone in others for zone in holding if zone != board.settings.zone)
+
+
 def plan_share_write(board, allocator, now):
     """Return the next write of an organisation's zone shares, or None."""
     settings = board.settings
@@ -324,7 +347,10 @@
     rate, burst, _ = fit_allocator(board, allocator, now)
     if rate <= 0:
         return None
-    zone_shares.record_demand(state, now, zone_demand(allocator, settings, now))
+    demand = zone_demand(allocator, settings, now)
+    if demand is not None and draws_elsewhere(board, state, burst):
+        demand = 0.0
+    zone_shares.record_demand(state, now, demand)
     zone_shares.plan_transfer(state, now, rate, burst)
     _, _, part = fit_allocator(board, allocator, now)
     within = is_within(allocator, settings, now, *part)
@@ -334,7 +360,7 @@
         if zone != settings.zone and zone_lease.is_lost(lease, settings)
     ]
     return zone_shares.plan_reclaim(state, now, lost) or zone_shares.plan_write(
-        state, settings, now, rate, burst, within
+        state, settings, now, rate, burst, within, list_other_zones(board)
     )
 
 
--- a/egretlift/quotas/allocator.py
+++ b/egretlift/quotas/allocator.py
@@ -21,6 +21,10 @@
 # refusals were 0.06% at 0.9 and 0.01% at 0.7: spare rate evens out the hosts.
 RATE_PART = 0.75
 BURST_PART = 0.65  # part of the burst granted to hosts
+# A host with a smaller part of the burst and less demand, in calls/s, gets tokens,
+# but no rate of its own. With more demand a request per token would cost too much.
+TOKENS_ONLY_BURST = 4.0
+TOKENS_ONLY_DEMAND = 10.0
 BURST_EXTRA = 4.0  # calls that a host with little demand may bunch
 
 
@@ -199,10 +203,13 @@
         BURST_PART * allocator.burst * part,
         2 * demand * settings.share_lease_s + BURST_EXTRA,
     )
-    if burst < 1:
-        # Too little burst for every host to keep a whole token: tokens stay with
-        # the holder and are handed out one by one.
-        return 0.0, 1.0 if request.urgent or request.tokens >= 1 else 0.0
+    if burst < 1 or (burst < TOKENS_ONLY_BURST and demand < TOKENS_ONLY_DEMAND):
+        # A bucket this small is often full, and what it gains then is lost. The
+        # rate stays with the holder, which hands out tokens.
+        if not request.urgent and request.tokens < 1:
+            return 0.0, 0.0
+        spare = allocator.bucket.tokens / (2 * max(1, len(allocator.grants)))
+        return 0.0, max(1.0, float(math.floor(min(burst, spare))))
     limit = RATE_PART * usable_rate(allocator, settings)
     return min(demand * HEADROOM, limit * part), burst
 
--- a/egretlift/quotas/zone_shares.py
+++ b/egretlift/quotas/zone_shares.py
@@ -26,6 +26,7 @@
 DEMAND_CALLS = 100  # average over at least so many calls; fewer vary by over 7%
 FAIR_STEP = 50  # smallest transfer between zones that both lack rate
 SPARE_STEP = 20  # smallest transfer of spare rate
+SMALL_BURST = 5.0  # calls per zone below which a burst is not divided
 KEEP = 20  # what a zone without demand keeps for its first calls
 
 
@@ -273,7 +274,30 @@
     return fair
 
 
-def plan_write(state, settings, now, rate, burst, within):
+def is_small(burst, zones):
+    """Return whether a burst is too small to be divided between zones.
+
+    A zone with a few tokens refuses calls that the whole burst would let pass; the
+    hosts of the other zones then draw on the one zone that holds everything.
+    """
+    return burst < SMALL_BURST * max(1, zones)
+
+
+def divide_whole(state, burst, others):
+    """Return the first entries of an organisation, divided evenly if it is large.
+
+    Entries of other zones have epoch 0: their holders use them after they have
+    written their own epoch.
+    """
+    others = () if is_small(burst, len(others) + 1) else others
+    part = WHOLE // (len(others) + 1)
+    zones = {zone: {"share": part, "wants": 0, "epoch": 0} for zone in others}
+    share = WHOLE - part * len(others)
+    zones[state.zone] = {"share": share, "wants": 0, "epoch": state.epoch}
+    return zones
+
+
+def plan_write(state, settings, now, rate, burst, within, others=()):
     """Return the platform write to attempt now, or None.
 
     Parameters
@@ -287,6 +311,8 @@
     within : bool
         Whether the allocator, its hosts included, is within ``usable_share``; see
         ``allocator.is_within``.
+    others : sequence of str
+        Other zones that are known when the object is created.
 
     Returns
     -------
@@ -304,6 +330,8 @@
             return None
         state.written_at = now
         return state.unsettled
+    if state.version == 0:
+        return start_write(state, now, divide_whole(state, burst, others))
     zones = next_zones(state, now, rate, burst, within)
     if zones is None:
         return None
@@ -327,7 +355,7 @@
     zones = copy_zones(state)
     entry = zones.get(state.zone)
     if entry is None or entry["epoch"] != state.epoch:
-        share = WHOLE if state.version == 0 else (entry or {}).get("share", 0)
+        share = (entry or {}).get("share", 0)
         wants = 0 if share else round_wants(state.demand or 0.0)
         zones[state.zone] = {"share": share, "wants": wants, "epoch": state.epoch}
         return zones
