--- a/egretlift/quotas/zone_lease.py
+++ b/egretlift/quotas/zone_lease.py
@@ -243,7 +243,7 @@
         state.held_epoch = 0
 
 
-def record_written(state, settings, now, sent_at, version):
+def record_written(state, settings, now, sent_at, version, spec):
     """Record the success of the last planned write.
 
     Parameters
@@ -256,10 +256,12 @@
         When the write that got the answer was sent.
     version : int
         The version it created.
+    spec : dict
+        The spec in the answer; the answer to any other write is only observed.
     """
-    if state.unsettled and version > state.version:
+    if state.unsettled and spec == state.unsettled.spec and version > state.version:
         state.unsettled.sent_at = sent_at
-        observe_lease(state, settings, now, sent_at, version, state.unsettled.spec)
+    observe_lease(state, settings, now, sent_at, version, spec)
 
 
 def accept_write(state, settings, now, sent_at, previous):
@@ -404,7 +406,7 @@
     >>> spec, expected = plan_write(state, settings, 0.0)
     >>> expected, spec["holder"], spec["epoch"]
     (0, 'h1', 1)
-    >>> record_written(state, settings, 0.1, 0.0, version=3)
+    >>> record_written(state, settings, 0.1, 0.0, 3, spec)
     >>> may_hold(state, settings, 0.1), may_hold(state, settings, 9.95)
     (True, False)
     """
