Test tokens in flight and the credit of returned tokens

Cause: trials that removed either rule from a scratch copy passed all tests. Change: one table test for each; both trials now fail.

--- a/egretlift/quotas/tests/test_states.py
+++ b/egretlift/quotas/tests/test_states.py
@@ -109,6 +109,29 @@
         later = al.allocate(allocator, SETTINGS, lapsed, other).rate
         self.assertAlmostEqual(later, 75.0)
 
+    def test_tokens_on_their_way_and_refill_share_the_burst(self):
+        """Guards against a full bucket, drained and then filled by a slow answer."""
+        share, request = make_share()
+        sh.apply_allocation(
+            share, 0.0, 0.0, sh.Allocation(request, 1, 10.0, 10.0, 0.0, 9.0)
+        )
+        request = sh.request_for(share, 0.1)
+        self.assertTrue(all(sh.draw_share(share, 1.2) for _ in range(10)))
+        reply = sh.Allocation(request, 1, 10.0, 10.0, 9.0, 9.0)
+        self.assertTrue(sh.apply_allocation(share, 0.1, 1.2, reply))
+        self.assertFalse(sh.draw_share(share, 1.2))
+
+    def test_returned_tokens_count_only_with_given_up_burst(self):
+        """Guards against a credit for tokens that the host could still hold."""
+        allocator = al.start_allocator("a", 1, -10.0, 0.0, 20.0, 0.0)
+        first = sh.AllocationRequest("h1", 1, "a", number=1, demand=9.0)
+        burst = al.allocate(allocator, SETTINGS, 0.0, first).burst
+        again = sh.AllocationRequest(
+            "h1", 1, "a", epoch=1, number=2, burst=burst, returned=5.0
+        )
+        al.allocate(allocator, SETTINGS, 0.0, again)
+        self.assertEqual(allocator.bucket.tokens, 0.0)
+
     def test_idle_host_holds_nothing(self):
         share, request = make_share()
         allocator = al.start_allocator("a", 1, -10.0, 100.0, 50.0, 0.0)
