--- a/egretlift/quotas/tests/test_states.py
+++ b/egretlift/quotas/tests/test_states.py
@@ -109,6 +109,29 @@
         later = al.allocate(allocator, SETTINGS, lapsed, other).rate
         self.assertAlmostEqual(later, 75.0)
 
+    def test_tokens_on_their_way_and_refill_share_the_burst(self):
+        """Guards against a full bucket, drained and then filled by a slow answer."""
+        share, request = make_share()
+        sh.apply_allocation(
+            share, 0.0, 0.0, sh.Allocation(request, 1, 10.0, 10.0, 0.0, 9.0)
+        )
+        request = sh.request_for(share, 0.1)
+        self.assertTrue(all(sh.draw_share(share, 1.2) for _ in range(10)))
+        reply = sh.Allocation(request, 1, 10.0, 10.0, 9.0, 9.0)
+        self.assertTrue(sh.apply_allocation(share, 0.1, 1.2, reply))
+        self.assertFalse(sh.draw_share(share, 1.2))
+
+    def test_returned_tokens_count_only_with_given_up_burst(self):
+        """Guards against a credit for tokens that the host could still hold."""
+        allocator = al.start_allocator("a", 1, -10.0, 0.0, 20.0, 0.0)
+        first = sh.AllocationRequest("h1", 1, "a", number=1, demand=9.0)
+        burst = al.allocate(allocator, SETTINGS, 0.0, first).burst
+        again = sh.AllocationRequest(
+            "h1", 1, "a", epoch=1, number=2, burst=burst, returned=5.0
+        )
+        al.allocate(allocator, SETTINGS, 0.0, again)
+        self.assertEqual(allocator.bucket.tokens, 0.0)
+
     def test_idle_host_holds_nothing(self):
         share, request = make_share()
         allocator = al.start_allocator("a", 1, -10.0, 100.0, 50.0, 0.0)
@@ -134,8 +157,8 @@
 def make_holder():
     """Return a holder with one standby, renewed at 0."""
     state = zl.LeaseState("a", *ME, 0.0)
-    zl.plan_write(state, SETTINGS, 0.0, [MATE])
-    zl.record_written(state, SETTINGS, 0.0, 0.0, 4)
+    spec, _ = zl.plan_write(state, SETTINGS, 0.0, [MATE])
+    zl.record_written(state, SETTINGS, 0.0, 0.0, 4, spec)
     return state
 
 
@@ -188,8 +211,8 @@
 
     def test_lapsed_hold_needs_a_new_epoch(self):
         state = make_holder()
-        zl.plan_write(state, SETTINGS, 3.0, [MATE])
-        zl.record_written(state, SETTINGS, 10.0, 3.0, 5)
+        spec, _ = zl.plan_write(state, SETTINGS, 3.0, [MATE])
+        zl.record_written(state, SETTINGS, 10.0, 3.0, 5, spec)
         self.assertFalse(zl.may_hold(state, SETTINGS, 10.0))
         self.assertEqual(zl.plan_write(state, SETTINGS, 10.0)[0]["epoch"], 2)
 
@@ -205,12 +228,19 @@
     def test_release_in_quarantine_is_not_drained(self):
         """Guards against skipping the lease time of an earlier holder's grants."""
         mate = make_state("h2")
-        zl.plan_write(mate, SETTINGS, 10.2)
-        zl.record_written(mate, SETTINGS, 10.3, 10.2, 9)
+        spec, _ = zl.plan_write(mate, SETTINGS, 10.2)
+        zl.record_written(mate, SETTINGS, 10.3, 10.2, 9, spec)
         zl.stop_holding(mate)
         spec, _ = zl.plan_write(mate, SETTINGS, 11.0, drained=True)
         self.assertEqual((spec["released"], spec["drained"]), (True, False))
 
+    def test_answer_to_another_write_starts_no_hold(self):
+        """Guards against taking an earlier incarnation's write for the own one."""
+        state = zl.LeaseState("a", "h1", 2, 0.0)
+        zl.plan_write(state, SETTINGS, 0.0)
+        zl.record_written(state, SETTINGS, 0.1, 0.0, 4, SPEC)
+        self.assertFalse(zl.may_hold(state, SETTINGS, 0.1))
+
     @params((True, 0.0), (False, 2.02))
     def test_release(self, drained, quarantine_s):
         holder, mate = make_holder(), make_state("h2", SPEC)
@@ -218,8 +248,8 @@
         self.assertFalse(zl.may_hold(holder, SETTINGS, 0.1))
         spec, _ = zl.plan_write(holder, SETTINGS, 0.1, drained=drained)
         zl.observe_lease(mate, SETTINGS, 0.2, 0.2, 9, spec)
-        self.assertIsNotNone(zl.plan_write(mate, SETTINGS, 0.2))
-        zl.record_written(mate, SETTINGS, 0.3, 0.2, 10)
+        spec, _ = zl.plan_write(mate, SETTINGS, 0.2)
+        zl.record_written(mate, SETTINGS, 0.3, 0.2, 10, spec)
         self.assertTrue(zl.may_hold(mate, SETTINGS, 0.3))
         self.assertAlmostEqual(zl.quarantine_s(mate, SETTINGS), quarantine_s)
 
