--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -153,7 +153,7 @@
     zone_lease.record_platform(lease, True)
     board.lease_specs[settings.zone] = item["spec"]
     zone_lease.record_written(
-        lease, settings, time.monotonic(), sent_at, item["revision"]
+        lease, settings, time.monotonic(), sent_at, item["revision"], item["spec"]
     )
     follow_epoch(board)
     board.kick_gossip.set()
