Answer malformed requests with outcome, reason and remedy

Cause: the server library answered a request that is no valid HTTP with plain text, without an outcome, and logged a traceback for each, so that any sender could fill the log.

--- a/egretlift/transport/server.py
+++ b/egretlift/transport/server.py
@@ -3,10 +3,34 @@
 import asyncio
 
 from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from egretlift.events import record_event
+from egretlift.outcome import Outcome, Refusal
+from egretlift.transport.messages import answer_refusal, label_answer
 
 MAXIMUM_LINE_BYTES = 8190
 
 
+def describe_malformed(error):
+    """Return the refusal for a request that is no valid HTTP."""
+    if isinstance(error, LineTooLong):
+        remedy = f"keep the request line and each header in {MAXIMUM_LINE_BYTES} bytes"
+        return Refusal("request-too-large", 431, remedy)
+    return Refusal("request-malformed", 400, "send a valid HTTP/1.1 request")
+
+
+def describe_fault():
+    """Return the refusal for a request on which the daemon itself failed."""
+    remedy = "the request may have run; report the daemon's log"
+    return Refusal("internal-error", 500, remedy, Outcome.UNKNOWN)
+
+
+def describe_detail(message):
+    """Return the first line of a parser's message, without the sender's bytes."""
+    return (message or "").partition("\n")[0].partition(": b")[0].rstrip(":")
+
+
 class BoundedConnection(web.RequestHandler):
     """A server connection that must complete its first request headers in time.
 
@@ -20,6 +44,26 @@
         super().__init__(manager, **options)
         self.header_timer = self._loop.call_later(header_timeout_s, self.force_close)
 
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return the answer to a malformed request, or to one that failed here.
+
+        The server library answers with plain text and logs a traceback for each
+        malformed request, so that any sender could fill the log.
+        """
+        if request.writer.output_size > 0 or status >= 500:
+            super().handle_error(request, status, exc, message)
+            refusal, detail = describe_fault(), ""
+        else:
+            refusal, detail = describe_malformed(exc), describe_detail(message)
+            record_event("request-malformed", error=type(exc).__name__)
+        answer = answer_refusal(refusal, detail)
+        headers = [*answer.headers, *label_answer(answer)]
+        response = web.Response(status=answer.status, body=answer.body)
+        for name, value in headers:
+            response.headers[name] = value
+        response.force_close()
+        return response
+
     def connection_lost(self, error):
         """Stop the timer when the connection ends."""
         self.header_timer.cancel()
