Pass compressed request bodies on unchanged

Cause: the server library unpacked bodies with a content-encoding, but the header travelled on, so the upstream received plain bytes labelled gzip; a body that was not gzip was refused as cut short.

Change: auto_decompress is off.

--- a/egretlift/transport/server.py
+++ b/egretlift/transport/server.py
@@ -89,6 +89,9 @@
         handle_request,
         handler_cancellation=True,
         access_log=None,
+        # A body travels on with its content-encoding header, so it must not be
+        # unpacked here.
+        auto_decompress=False,
         max_line_size=MAXIMUM_LINE_BYTES,
         max_field_size=MAXIMUM_LINE_BYTES,
         keepalive_timeout=75,
