Log no traceback for an answer that is cut short

Cause: send_answer raises ConnectionResetError to end the connection, which the server library hands to handle_error as if the daemon had failed. Each truncated upstream answer and each caller that left logged two tracebacks.

Change: handle_error raises connection errors again; the library then only closes the connection. The event answer-cut-short remains.

--- a/egretlift/transport/server.py
+++ b/egretlift/transport/server.py
@@ -48,8 +48,11 @@
         """Return the answer to a malformed request, or to one that failed here.
 
         The server library answers with plain text and logs a traceback for each
-        malformed request, so that any sender could fill the log.
+        malformed request and each answer cut short, so that any sender could fill
+        the log.
         """
+        if isinstance(exc, ConnectionError):
+            raise exc
         if request.writer.output_size > 0 or status >= 500:
             super().handle_error(request, status, exc, message)
             refusal, detail = describe_fault(), ""
