Refuse unreadable time limits instead of failing

Cause: isdigit() is true of characters such as a superscript two, and int() raises above 4,300 digits, so these values of egretlift-timeout-ms were answered with 500 and a traceback.

Change: only decimal digits are accepted, and the length is checked first. Both cases answer 400 timeout-invalid now, 500 before (test_caller_port).

--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -107,7 +107,9 @@
     text = headers.get(TIMEOUT_HEADER)
     if text is None:
         return profile.timeout_s
-    if not text.isdigit() or int(text) == 0 or len(text) > 9:
+    # isdigit() is also true of digits that int() does not read, and int() raises
+    # for numbers of more than 4,300 digits.
+    if not text.isdecimal() or len(text) > 9 or int(text) == 0:
         raise CallRefused(
             "timeout-invalid", 400, f"give {TIMEOUT_HEADER} as whole milliseconds"
         )
