Bound the size and the time of announcements

Cause: an announcement was read without a limit of time, above 1 MB it was refused in plain text without a remedy, and deeply nested JSON raised RecursionError.

Change: announcements are read like other bodies, up to 256 KiB, with body-gap-s.

Figures (test_upstream_port): oversized 413 with a remedy, cut short 408 after 1 s, nested 400; before 413 without one, no answer within 4 s, and 500 with a traceback.

--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -69,6 +69,8 @@
 # Deeper chains than this are taken for a loop in the call graph.
 DEEPEST_CALL = 32
 OUTGOING_PREFIX = "/call/"
+# 64 routes with the longest prefixes fit.
+ANNOUNCEMENT_BYTES = 262144
 
 
 class CallRefused(Exception):
@@ -306,10 +308,20 @@
 
 async def handle_announcement(board, request):
     """Take an upstream's announcement."""
+    status = 400
+    body = RequestBody(request, board.settings.body_gap_s)
     try:
-        body = json.loads(await request.read())
-        accept_announcement(board, body)
-    except ValueError as error:
+        await hold_body(body, ANNOUNCEMENT_BYTES)
+        accept_announcement(board, json.loads(body.data))
+    except BodyTooLarge:
+        status = 413
+        remedy = f"send at most {ANNOUNCEMENT_BYTES} bytes"
+        errors = [{"error": "the body is too large", "remedy": remedy}]
+    except (BodyTooSlow, BodyCutShort):
+        status = 408
+        remedy = "send the whole body without long pauses"
+        errors = [{"error": "the body did not arrive", "remedy": remedy}]
+    except (ValueError, RecursionError) as error:
         errors = [{"error": str(error), "remedy": "send a JSON object"}]
     except ExceptionGroup as group:
         errors = [
@@ -318,7 +330,7 @@
         ]
     else:
         return web.json_response({"lease_s": board.settings.announcement_lease_s})
-    return web.json_response({"errors": errors}, status=400)
+    return web.json_response({"errors": errors}, status=status)
 
 
 def split_outgoing(request):
