Close the connection after an upgrade or CONNECT request

Cause: the parser takes what follows such a request for another protocol, so a further request on the kept connection was never answered.

Change: the answer closes the connection.

--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -61,6 +61,7 @@
     RequestBody,
     answer_refusal,
     close_answer,
+    ends_connection,
     hold_body,
     label_answer,
     select_request_headers,
@@ -480,12 +481,16 @@
     if answer.body is not None:
         response = web.Response(status=answer.status, body=answer.body)
         fill_headers(response, headers, skip="content-length")
+        if ends_connection(request):
+            response.force_close()
         close_answer(answer, whole=True)
         await response.prepare(request)
         await response.write_eof()
         return response
     response = web.StreamResponse(status=answer.status)
     fill_headers(response, headers)
+    if ends_connection(request):
+        response.force_close()
     whole = False
     try:
         await response.prepare(request)
--- a/egretlift/transport/messages.py
+++ b/egretlift/transport/messages.py
@@ -228,6 +228,15 @@
     ]
 
 
+def ends_connection(request):
+    """Return whether no further request can follow on a request's connection.
+
+    The parser takes what follows ``CONNECT`` or an upgrade for another protocol,
+    so a further request on the connection would never be answered.
+    """
+    return request.method == "CONNECT" or "upgrade" in request.headers
+
+
 def label_answer(answer):
     """Return the headers that state the outcome and reason of an answer."""
     labels = [(OUTCOME_HEADER, answer.outcome.value)]
