Refuse control messages that are no protobuf without a traceback

Cause: grpclib logs a traceback and answers UNKNOWN when a message cannot be decoded, for example from a daemon of another version.

Change: the status is INVALID_ARGUMENT with the remedy. Before, 2 (UNKNOWN) and a traceback in test_control_port; after, 3.

--- a/egretlift/transport/control.py
+++ b/egretlift/transport/control.py
@@ -8,6 +8,7 @@
 import hmac
 
 import anyio
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -57,7 +58,12 @@
             raise GRPCError(
                 Status.UNAUTHENTICATED, "set the same mesh-secret on all hosts"
             )
-        request = await stream.recv_message()
+        try:
+            request = await stream.recv_message()
+        except DecodeError:
+            raise GRPCError(
+                Status.INVALID_ARGUMENT, "run one version on all hosts"
+            ) from None
         await stream.send_message(await handle(request))
 
     async def Gossip(self, stream):  # noqa: N802
