Answer unreadable event sequences and websockets on the operators' port

Cause: /events failed with 500 for digits that int() does not read or that are too many, and a websocket request ended in 500.

Change: such a sequence is answered with 400, a websocket with 403 (500 before, in test_operators_port).

--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -17,6 +17,9 @@
 from egretlift.events import current_ring, events_after
 from egretlift.membership import encode_member
 
+# Digits of a sequence number; int() raises above 4,300.
+LONGEST_SEQUENCE = 18
+
 # Name of each counter on the blackboard, its label and its help text.
 COUNTERS = {
     "answers": ("outcome", "Answers given, by outcome and reason"),
@@ -129,7 +132,8 @@
         return 200, "application/json", json.dumps(describe_state(board)).encode()
     if path == "/events":
         after = parse_qs(query).get("after", ["0"])[0]
-        if not after.isdigit():
+        # isdigit() is also true of digits that int() does not read.
+        if not (after.isdecimal() and len(after) <= LONGEST_SEQUENCE):
             body = {"error": "after is not a number", "remedy": "give a sequence"}
             return 400, "application/json", json.dumps(body).encode()
         ring = current_ring()
@@ -144,6 +148,8 @@
     """Return the ASGI application of the operators' port."""
 
     async def answer(scope, receive, send):
+        if scope["type"] == "websocket":
+            await send({"type": "websocket.close"})
         if scope["type"] != "http":
             return
         status, kind, body = answer_operator(
