--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -61,6 +61,7 @@
     RequestBody,
     answer_refusal,
     close_answer,
+    ends_connection,
     hold_body,
     label_answer,
     select_request_headers,
@@ -69,6 +70,8 @@
 # Deeper chains than this are taken for a loop in the call graph.
 DEEPEST_CALL = 32
 OUTGOING_PREFIX = "/call/"
+# 64 routes with the longest prefixes fit.
+ANNOUNCEMENT_BYTES = 262144
 EVENTS_PER_SECOND = 20
 
 
@@ -108,7 +111,9 @@
     text = headers.get(TIMEOUT_HEADER)
     if text is None:
         return profile.timeout_s
-    if not text.isdigit() or int(text) == 0 or len(text) > 9:
+    # isdigit() is also true of digits that int() does not read, and int() raises
+    # for numbers of more than 4,300 digits.
+    if not text.isdecimal() or len(text) > 9 or int(text) == 0:
         raise CallRefused(
             "timeout-invalid", 400, f"give {TIMEOUT_HEADER} as whole milliseconds"
         )
@@ -305,10 +310,20 @@
 
 async def handle_announcement(board, request):
     """Take an upstream's announcement."""
+    status = 400
+    body = RequestBody(request, board.settings.body_gap_s)
     try:
-        body = json.loads(await request.read())
-        accept_announcement(board, body)
-    except ValueError as error:
+        await hold_body(body, ANNOUNCEMENT_BYTES)
+        accept_announcement(board, json.loads(body.data))
+    except BodyTooLarge:
+        status = 413
+        remedy = f"send at most {ANNOUNCEMENT_BYTES} bytes"
+        errors = [{"error": "the body is too large", "remedy": remedy}]
+    except (BodyTooSlow, BodyCutShort):
+        status = 408
+        remedy = "send the whole body without long pauses"
+        errors = [{"error": "the body did not arrive", "remedy": remedy}]
+    except (ValueError, RecursionError) as error:
         errors = [{"error": str(error), "remedy": "send a JSON object"}]
     except ExceptionGroup as group:
         errors = [
@@ -317,7 +332,7 @@
         ]
     else:
         return web.json_response({"lease_s": board.settings.announcement_lease_s})
-    return web.json_response({"errors": errors}, status=400)
+    return web.json_response({"errors": errors}, status=status)
 
 
 def split_outgoing(request):
@@ -483,12 +498,16 @@
     if answer.body is not None:
         response = web.Response(status=answer.status, body=answer.body)
         fill_headers(response, headers, skip="content-length")
+        if ends_connection(request):
+            response.force_close()
         close_answer(answer, whole=True)
         await response.prepare(request)
         await response.write_eof()
         return response
     response = web.StreamResponse(status=answer.status)
     fill_headers(response, headers)
+    if ends_connection(request):
+        response.force_close()
     whole = False
     try:
         await response.prepare(request)
