Let gossip reach seeds that are not yet members

Cause: daemons that start together choose their first partner among the seeds and afterwards only among known members. Small groups that met first never joined: of 12 daemons started by standins/mesh.py, one knew 2 members and others 4, unchanged for 30 s, and wait_until_ready timed out.

Change: 20% of the exchanges may go to a random seed that no member record names.

A seed that is gone for good costs up to 20% of the exchanges of its daemons.

--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -42,6 +42,9 @@
 OBJECTS_PER_MESSAGE = 1000
 # Part of the exchanges that go to a dead member, to find the end of a partition.
 LOST_PEER_PART = 0.2
+# Part of the exchanges that may go to a seed that is no known member. Daemons that
+# start together first meet at random and otherwise stay in separate groups.
+UNKNOWN_SEED_PART = 0.2
 # Changes that arrive together travel in one message.
 SPREAD_DELAY_S = 0.01
 
@@ -202,19 +205,34 @@
         lost = select_lost_peer(board.members, board.random)
         if lost is not None:
             return lost
+    endpoint = pick_endpoint(board)
+    if (
+        endpoint is not None
+        and board.random.random() < UNKNOWN_SEED_PART
+        and not is_known(board, endpoint)
+    ):
+        return endpoint
     peers = select_peers(board.members, board.random, 1)
-    if peers:
-        return peers[0]
-    seeds = [
-        seed
-        for seed in board.settings.seeds
-        if seed != (board.settings.address, board.settings.control_port)
-    ]
-    lease_seeds = board.lease_endpoints
-    found = seeds or lease_seeds
+    return peers[0] if peers else endpoint
+
+
+def pick_endpoint(board):
+    """Return a random seed, or else a host named by a zone lease, or None."""
+    me = (board.settings.address, board.settings.control_port)
+    seeds = [seed for seed in board.settings.seeds if seed != me]
+    found = seeds or board.lease_endpoints
     return Endpoint(*board.random.choice(found)) if found else None
 
 
+def is_known(board, endpoint):
+    """Return whether a member has the endpoint."""
+    return any(
+        member.control_port == endpoint.control_port
+        and member.address == endpoint.address
+        for member in board.members.members.values()
+    )
+
+
 async def check_member(board, member):
     """Suspect a member that neither this daemon nor three others can reach."""
     helpers = select_probe_helpers(board.members, board.random, member.host)
--- /dev/null
+++ b/egretlift/daemon/tests/test_gossip.py
@@ -0,0 +1,60 @@
+"""Tests of the choice of gossip partners."""
+
+import unittest
+
+from nose2.tools import params
+
+from egretlift.blackboard import Blackboard
+from egretlift.daemon.gossip import pick_partner
+from egretlift.membership import Member, merge_members
+from egretlift.settings import Settings
+
+ADDRESS = "127.0.0.1"
+
+
+def make_board(seeds):
+    settings = {"host": "h1", "zone": "a", "seeds": seeds}
+    return Blackboard(Settings(settings), 1)
+
+
+def make_member(port):
+    numbers = dict.fromkeys(("caller_port", "peer_port", "operators_port"), 1)
+    return Member(
+        host=f"h{port}",
+        incarnation=1,
+        version=1,
+        zone="a",
+        service="",
+        address=ADDRESS,
+        control_port=port,
+        status="alive",
+        routes=(),
+        **numbers,
+    )
+
+
+class TestPartners(unittest.TestCase):
+    """Guards against daemons that stay in the group that they first met."""
+
+    @params(
+        ("no member", [], (2, 3), {2, 3}),
+        ("unknown seed", [2], (2, 3), {2, 3}),
+        ("known seeds", [2, 3], (2, 3), {2, 3}),
+        ("known seed and others", [2, 4], (2,), {2, 4}),
+        ("own endpoint", [2], (7403,), {2}),
+    )
+    def test_partners(self, _name, members, seeds, expected):
+        board = make_board(tuple((ADDRESS, port) for port in seeds))
+        merge_members(board.members, 0.0, [make_member(port) for port in members])
+        chosen = [pick_partner(board).control_port for _ in range(300)]
+        self.assertEqual(set(chosen), expected)
+
+    def test_most_exchanges_go_to_members(self):
+        board = make_board(((ADDRESS, 3),))
+        merge_members(board.members, 0.0, [make_member(2)])
+        chosen = [pick_partner(board).control_port for _ in range(1000)]
+        self.assertIn(chosen.count(3), range(120, 280))
+
+
+if __name__ == "__main__":
+    unittest.main()
