--- /dev/null
+++ b/bench/tests/test_measures.py
@@ -0,0 +1,70 @@
+"""Tests of the measures that the demonstration and the experiment print."""
+
+import unittest
+
+from nose2.tools import params
+
+from bench.demo import count_unexplained
+from bench.deployments import DEPLOYMENTS, compute_capacity
+from bench.measures import find_recovery, join_requests
+
+
+def make_requests(bad_until, slow_until=0.0):
+    """Return 20 s of requests at 100 a second with a trigger from 5 to 10 s."""
+    requests = []
+    for number in range(2000):
+        at = number / 100
+        latency = 0.5 if 5 <= at < slow_until else 0.1
+        requests.append((at, None if 5 <= at < bad_until else latency))
+    return requests
+
+
+class TestMeasures(unittest.TestCase):
+    """Guards against figures that look better than the run was."""
+
+    @params(
+        ("at once", 10.0, 0.0, 0.0),
+        ("goodput returns", 12.0, 0.0, 1.95),
+        ("latency returns later", 12.0, 14.0, 4.0),
+        ("too late to be sure", 18.9, 0.0, None),
+        ("never", 20.0, 0.0, None),
+    )
+    def test_recovery(self, _name, bad_until, slow_until, expected):
+        requests = make_requests(bad_until, slow_until)
+        found = find_recovery(requests, (0.0, 5.0), 10.0, 20.0)
+        if expected is None:
+            self.assertIsNone(found)
+        else:
+            self.assertAlmostEqual(found, expected, delta=0.11)
+
+    def test_one_good_window_is_not_recovery(self):
+        requests = [
+            (at, None if 11.5 <= at < 13 else latency)
+            for at, latency in make_requests(10.0)
+        ]
+        found = find_recovery(requests, (0.0, 5.0), 10.0, 20.0)
+        self.assertAlmostEqual(found, 2.95, delta=0.11)
+
+    def test_a_request_counts_once_with_its_whole_attempt(self):
+        rows = [
+            {"request": "r1", "scheduled": 1.0, "end": end, "whole": whole}
+            for end, whole in ((1.5, False), (2.0, True), (2.5, False))
+        ]
+        self.assertEqual(join_requests(rows), [(1.0, 1.0)])
+
+    def test_calls_without_a_reason_are_reported(self):
+        row = {"route": "r", "status": 503, "error": None, "whole": False}
+        rows = [row | {"reason": "rate"}, row | {"reason": None}]
+        rows.append(row | {"reason": None, "whole": True})
+        self.assertEqual(count_unexplained(rows), {"r: status 503, error None": 1})
+
+    # Galleries: 45 slots, held 0.2 s by 20% of the requests. Lots: 135 slots, held
+    # 0.1 s by the 25% that call it and the 25% that sell.
+    @params(("pawtrait", 45 / 0.04), ("bayt", 135 / 0.05))
+    def test_capacity_follows_the_busiest_service(self, name, expected):
+        found = compute_capacity(DEPLOYMENTS[name], 1.0, 0.1)
+        self.assertAlmostEqual(found, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
