--- a/bench/demo.py
+++ b/bench/demo.py
@@ -139,7 +139,8 @@
     print(f"recovery time       {describe_recovery(recovery)} after the slow checkout")
     print(f"worst-served        {worst:.2%} of an organisation's requests in its rate")
     print(f"refused within rate {refused:.2%} at the organisation with the most")
-    print(f"latency             p99 {totals['latency_s']['p99'] * 1000:.0f} ms")
+    p99 = totals["latency_s"].get("p99", float("nan"))
+    print(f"latency             p99 {p99 * 1000:.0f} ms")
     print(f"refusals            {totals['refusals'] or 'none'}")
 
 
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -71,9 +71,12 @@
     Returns
     -------
     float or None
-        None if they are not served as before until the end.
+        None if they are not served as before until the end, or were not served
+        before.
     """
     share, _ = measure_window(requests, *before)
+    if not share:
+        return None
     highest = max((row[2] for row in list_windows(requests, *before)), default=0.0)
     good = 0
     for start, whole, p99 in list_windows(requests, trigger_end, ended):
--- a/bench/tests/test_measures.py
+++ b/bench/tests/test_measures.py
@@ -37,6 +37,10 @@
         else:
             self.assertAlmostEqual(found, expected, delta=0.11)
 
+    def test_no_recovery_if_nothing_was_served_before(self):
+        requests = [(at, None) for at, _ in make_requests(10.0)]
+        self.assertIsNone(find_recovery(requests, (0.0, 5.0), 10.0, 20.0))
+
     def test_one_good_window_is_not_recovery(self):
         requests = [
             (at, None if 11.5 <= at < 13 else latency)
