Pay for upstreams' repeats from the budget, next to the failure only

Cause: an identical outgoing call of an upstream was charged to the request's allowance but neither to the daemon's retry budget nor held back when the failure lay further down, so the repeats of 18 levels each drew on the allowance. Ruled out: the daemons' own retries, which were none at the deepest level.

--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -66,6 +66,8 @@
         Digest of the key, known only at the entry daemon.
     outgoing : bool
         Whether this host's upstream makes the call.
+    repeated : bool
+        Whether the upstream repeats a call that did not end whole.
     outgoing_failed, outgoing_refused : bool
         Whether a call made by the upstream while it ran this call did not end
         whole, or was refused for load.
@@ -89,6 +91,7 @@
         "priority",
         "profile",
         "received_at",
+        "repeated",
         "repeats",
         "route",
         "service",
@@ -111,6 +114,7 @@
         self.outgoing = False
         self.outgoing_failed = False
         self.outgoing_refused = False
+        self.repeated = False
         self.repeats = None
         self.token_zone = None
         self.route = None
@@ -232,6 +236,11 @@
     return settings.refused_tries
 
 
+def failed_deeper(answer):
+    """Return whether the origin of a failure is not the call's own execution."""
+    return answer.deeper or answer.refused_deeper or answer.reason == "deadline"
+
+
 def may_retry(board, call, answer, attempts):
     """Return whether a failed call may be run once more, and pay for it."""
     if answer.outcome not in (Outcome.FAILED_WAS_RUN, Outcome.UNKNOWN):
@@ -239,8 +248,7 @@
     if not call.profile or not call.profile.idempotent or not can_replay(call.body):
         return False
     settings = board.settings
-    deeper = answer.deeper or answer.reason == "deadline"
-    if deeper and settings.retry_policy != "fixed":
+    if failed_deeper(answer) and settings.retry_policy != "fixed":
         return False
     budget = find_budget(board.budgets, call.service)
     paid = pay_for_retry(call.allowance, budget, settings, time.monotonic(), attempts)
@@ -259,7 +267,8 @@
     """
     settings = board.settings
     budget = find_budget(board.budgets, call.service)
-    record_request(budget, settings, time.monotonic())
+    if not call.repeated:
+        record_request(budget, settings, time.monotonic())
     excluded, refusals, attempts, ran = set(), 0, 0, False
     answer = None
     while True:
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -20,6 +20,7 @@
 from egretlift.daemon.calls import (
     LOAD_REASONS,
     Call,
+    failed_deeper,
     run_call,
     run_throttled,
 )
@@ -47,7 +48,9 @@
     RepeatRecords,
     charge_repeat,
     close_allowance,
+    find_budget,
     fingerprint_request,
+    is_repeat,
     lend,
     open_allowance,
     record_end,
@@ -385,8 +388,14 @@
     )
     if parent.repeats is None:
         parent.repeats = RepeatRecords()
-    if board.settings.retry_policy == "budget" and not charge_repeat(
-        parent.repeats, fingerprint, parent.allowance
+    call.repeated = is_repeat(parent.repeats, fingerprint)
+    if not charge_repeat(
+        parent.repeats,
+        fingerprint,
+        parent.allowance,
+        find_budget(board.budgets, call.service),
+        board.settings,
+        time.monotonic(),
     ):
         count(board, "repeats_refused", call.service)
         raise CallRefused(
@@ -394,16 +403,16 @@
         )
     lent = lend(parent.allowance)
     call.allowance = open_allowance(lent)
-    outcome = Outcome.UNKNOWN
+    outcome, deeper = Outcome.UNKNOWN, False
     try:
         answer = await run_throttled(board, call, call.service, run_call)
-        outcome = answer.outcome
+        outcome, deeper = answer.outcome, failed_deeper(answer)
         refused = answer.reason in LOAD_REASONS or answer.refused_deeper
         parent.outgoing_refused |= refused
         return answer
     finally:
         settle(parent.allowance, lent, close_allowance(call.allowance))
-        record_end(parent.repeats, fingerprint, outcome)
+        record_end(parent.repeats, fingerprint, outcome, deeper)
         parent.outgoing_failed |= outcome is not Outcome.WHOLE
 
 
--- a/egretlift/retries/__init__.py
+++ b/egretlift/retries/__init__.py
@@ -21,6 +21,7 @@
     charge_repeat,
     fingerprint_request,
     had_failure,
+    is_repeat,
     record_end,
 )
 
@@ -34,6 +35,7 @@
     "find_budget",
     "fingerprint_request",
     "had_failure",
+    "is_repeat",
     "lend",
     "may_retry",
     "open_allowance",
--- a/egretlift/retries/tests/test_retries.py
+++ b/egretlift/retries/tests/test_retries.py
@@ -30,6 +30,13 @@
 from egretlift.settings import Settings
 
 
+def make_budget(tokens):
+    """Return a retry budget with a stock of tokens."""
+    budget = RetryBudget()
+    budget.tokens = tokens
+    return budget
+
+
 class AllowanceTree(RuleBasedStateMachine):
     """A call tree of any shape; a failure here would multiply retries."""
 
@@ -55,7 +62,8 @@
         records = RepeatRecords()
         record_end(records, b"x", Outcome.UNKNOWN)
         allowance = self.nodes[at % len(self.nodes)][0]
-        self.spent += charge_repeat(records, b"x", allowance)
+        funds = (allowance, make_budget(10), Settings(), 0.0)
+        self.spent += charge_repeat(records, b"x", *funds)
 
     @precondition(lambda self: len(self.nodes) > 1)
     @rule(at=st.integers(0, 99), lost=st.booleans(), excess=st.integers(0, 9))
@@ -145,18 +153,29 @@
 
     @params(Outcome.REFUSED_NOT_RUN, Outcome.FAILED_WAS_RUN, Outcome.UNKNOWN)
     def test_repeat_is_charged(self, outcome):
-        records, allowance = RepeatRecords(), open_allowance(1)
-        self.assertTrue(charge_repeat(records, b"a", allowance))
+        records, budget = RepeatRecords(), make_budget(10)
+        funds = (open_allowance(1), budget, Settings(), 0.0)
+        self.assertTrue(charge_repeat(records, b"a", *funds))
         record_end(records, b"a", outcome)
         self.assertTrue(had_failure(records))
-        self.assertTrue(charge_repeat(records, b"b", allowance))
-        answers = [charge_repeat(records, b"a", allowance) for _ in range(2)]
+        self.assertTrue(charge_repeat(records, b"b", *funds))
+        answers = [charge_repeat(records, b"a", *funds) for _ in range(2)]
         self.assertEqual(answers, [True, False])
+        self.assertEqual(budget.tokens, 9)
         record_end(records, b"a", Outcome.WHOLE)
-        self.assertTrue(charge_repeat(records, b"a", allowance))
+        self.assertTrue(charge_repeat(records, b"a", *funds))
+
+    @params((True, 10, False), (False, 10, True), (False, 0, False))
+    def test_repeat_next_to_the_failure_only(self, deeper, tokens, goes):
+        """Repeats of upstreams on all levels would multiply."""
+        records = RepeatRecords()
+        record_end(records, b"a", Outcome.FAILED_WAS_RUN, deeper)
+        funds = (open_allowance(2), make_budget(tokens), Settings(), 0.0)
+        self.assertEqual(charge_repeat(records, b"a", *funds), goes)
 
     def test_many_failures_charge_everything(self):
         records = RepeatRecords()
         for n in range(FINGERPRINTS_MAXIMUM + 1):
             record_end(records, str(n).encode(), Outcome.UNKNOWN)
-        self.assertFalse(charge_repeat(records, b"new", open_allowance(0)))
+        funds = (open_allowance(0), make_budget(10), Settings(), 0.0)
+        self.assertFalse(charge_repeat(records, b"new", *funds))
