Lend the last retry instead of keeping it

Cause: each hop kept one retry of an idempotent call for a lost answer, so with 2 retries the allowance was 0 after the second hop and a failure at depth 18 was never retried. Change: only a second retry is kept.

--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -152,8 +152,10 @@
 async def forward_to(board, call, member, hop="execute"):
     """Send a call to another daemon and return its answer."""
     now = time.monotonic()
-    # A retry after a lost answer needs an allowance that was not lent with it.
-    keep = 1 if call.profile and call.profile.idempotent else 0
+    # A retry after a lost answer needs an allowance that was not lent with it. The
+    # last one is lent: kept, it would never reach a failure further down.
+    spare = call.profile and call.profile.idempotent and call.allowance.left > 1
+    keep = 1 if spare else 0
     lent = lend(call.allowance, keep)
     context = make_context(board, call, lent, hop)
     signed = sign_context(board.settings.mesh_secret, context)
--- a/integration/test_retries.py
+++ b/integration/test_retries.py
@@ -212,6 +212,10 @@
                 reached = {chain for chain, level in counts if level == LEVELS - 1}
                 # A run that never reached the fault would prove nothing.
                 self.assertEqual(set(CHAINS), reached)
+                if fault == "fails":
+                    # An allowance used up on the way down retries nothing there.
+                    plain = counts["n", LEVELS - 1]
+                    self.assertGreater(max(plain.values()), 1)
 
 
 def main():
