Throttle calls at the entry only

Cause: outgoing calls were throttled on every level as well, with up to 95% each. After a slow period of the deepest service almost no call reached it any more, so no level learned that it was over. Ruled out: the refusal of hopeless calls, which lets a call through every 0.1 s.

--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -378,6 +378,8 @@
 
 async def run_outgoing(board, call, parent):
     """Run an outgoing call on the allowance of its parent call."""
+    # Throttled only at the entry: throttles on all levels multiply, and after a slow
+    # period almost no call would reach the deepest level to show that it is over.
     if parent is None:
         return await run_throttled(board, call, call.service, run_call)
     fingerprint = fingerprint_request(
@@ -405,7 +407,7 @@
     call.allowance = open_allowance(lent)
     outcome, deeper = Outcome.UNKNOWN, False
     try:
-        answer = await run_throttled(board, call, call.service, run_call)
+        answer = await run_call(board, call)
         outcome, deeper = answer.outcome, failed_deeper(answer)
         refused = answer.reason in LOAD_REASONS or answer.refused_deeper
         parent.outgoing_refused |= refused
