--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -20,6 +20,7 @@
 from egretlift.daemon.calls import (
     LOAD_REASONS,
     Call,
+    failed_deeper,
     run_call,
     run_throttled,
 )
@@ -47,7 +48,9 @@
     RepeatRecords,
     charge_repeat,
     close_allowance,
+    find_budget,
     fingerprint_request,
+    is_repeat,
     lend,
     open_allowance,
     record_end,
@@ -391,6 +394,8 @@
 
 async def run_outgoing(board, call, parent):
     """Run an outgoing call on the allowance of its parent call."""
+    # Throttled only at the entry: throttles on all levels multiply, and after a slow
+    # period almost no call would reach the deepest level to show that it is over.
     if parent is None:
         return await run_throttled(board, call, call.service, run_call)
     fingerprint = fingerprint_request(
@@ -401,8 +406,14 @@
     )
     if parent.repeats is None:
         parent.repeats = RepeatRecords()
-    if board.settings.retry_policy == "budget" and not charge_repeat(
-        parent.repeats, fingerprint, parent.allowance
+    call.repeated = is_repeat(parent.repeats, fingerprint)
+    if not charge_repeat(
+        parent.repeats,
+        fingerprint,
+        parent.allowance,
+        find_budget(board.budgets, call.service),
+        board.settings,
+        time.monotonic(),
     ):
         count(board, "repeats_refused", call.service)
         raise CallRefused(
@@ -410,16 +421,16 @@
         )
     lent = lend(parent.allowance)
     call.allowance = open_allowance(lent)
-    outcome = Outcome.UNKNOWN
+    outcome, deeper = Outcome.UNKNOWN, False
     try:
-        answer = await run_throttled(board, call, call.service, run_call)
-        outcome = answer.outcome
+        answer = await run_call(board, call)
+        outcome, deeper = answer.outcome, failed_deeper(answer)
         refused = answer.reason in LOAD_REASONS or answer.refused_deeper
         parent.outgoing_refused |= refused
         return answer
     finally:
         settle(parent.allowance, lent, close_allowance(call.allowance))
-        record_end(parent.repeats, fingerprint, outcome)
+        record_end(parent.repeats, fingerprint, outcome, deeper)
         parent.outgoing_failed |= outcome is not Outcome.WHOLE
 
 
