--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -66,6 +66,7 @@
     read_state,
     restart_process,
     run_mesh,
+    set_behaviour,
     set_faults,
     wait_until_ready,
 )
@@ -394,12 +395,16 @@
         wait_for(partial(has_revision, mesh, revision), 20, "no convergence")
         times[0].append(find_last(mesh, "configuration-in-force", written, revision))
         host = hosts[turn]
+        # Its next announcement would otherwise end the draining at once.
+        set_behaviour(mesh, host, announce=False)
+        time.sleep(0.1)
         port = port_of(mesh, f"daemon/{host}", "upstream")
         call_json(port, "POST", "/drain")
         left = time.time()
         wait_for(partial(knows_status, mesh, host, "draining"), 20, "no convergence")
         times[1].append(find_last(mesh, "member-changed", left, host))
-        time.sleep(1.2)
+        set_behaviour(mesh, host, announce=True)
+        time.sleep(1.5)
     return tuple(map(statistics.median, times))
 
 
