Tick the admission queue of an idle daemon less often

Cause: expire_queue ran every 10 ms, also without a call on the host.

Change: without waiting and running calls it runs every 50 ms.

--- a/egretlift/daemon/execution.py
+++ b/egretlift/daemon/execution.py
@@ -34,6 +34,11 @@
     "key-unknown": "use a key that is in force",
 }
 
+QUEUE_TICK_S = 0.01
+# Without calls there is nothing to expire; most of an idle daemon's processor time
+# went into such ticks.
+IDLE_TICK_S = 0.05
+
 
 def refuse(reason):
     """Return the answer for a call refused on this host."""
@@ -110,7 +115,8 @@
 async def expire_queue(board):
     """Refuse calls that have waited too long, for as long as the daemon runs."""
     while True:
-        await anyio.sleep(0.01)
+        busy = board.slots or board.calls
+        await anyio.sleep(QUEUE_TICK_S if busy else IDLE_TICK_S)
         apply_decisions(
             board, expire_waiting(board.admission, board.settings, time.monotonic())
         )
