Leave the command line of httpx out of the daemon

Cause: httpx imports its command line with rich and pygments when they are installed, which typer requires.

Change: the platform client marks that module as missing before the import; httpx has a fallback for it.

--- a/egretlift/platform/client.py
+++ b/egretlift/platform/client.py
@@ -8,12 +8,18 @@
 """
 
 import secrets
+import sys
 from urllib.parse import quote
 
 import anyio
-import httpx
 
-from egretlift.errors import (
+# The command line of httpx imports rich and pygments, 4.6 MB that no daemon uses;
+# without the module httpx leaves its command line out.
+sys.modules.setdefault("httpx._main", None)
+
+import httpx  # noqa: E402
+
+from egretlift.errors import (  # noqa: E402
     ConflictError,
     EgretliftError,
     NotFound,
