Load certificate authorities only for an https platform

Cause: the HTTP client loads the authorities when it is made, also for http URLs.

Change: they are loaded only if platform-url starts with https.

--- a/egretlift/platform/client.py
+++ b/egretlift/platform/client.py
@@ -146,8 +146,13 @@
 
     def __init__(self, settings):
         self.settings = settings
+        # Loading the certificate authorities takes memory that only https needs.
+        secure = settings.platform_url.startswith("https://")
         self.http = httpx.AsyncClient(
-            base_url=settings.platform_url, timeout=None, trust_env=False
+            base_url=settings.platform_url,
+            timeout=None,
+            trust_env=False,
+            verify=secure,
         )
 
     async def __aenter__(self):
