Return unused tokens of small buckets to the holder

Cause: with a burst below one token per host, idle hosts kept tokens that busy hosts were refused for. Change: in tokens-only mode a renewal gives an unused token back when there is not one for every host.

--- a/egretlift/quotas/allocator.py
+++ b/egretlift/quotas/allocator.py
@@ -206,7 +206,8 @@
     if burst < 1 or (burst < TOKENS_ONLY_BURST and demand < TOKENS_ONLY_DEMAND):
         # A bucket this small is often full, and what it gains then is lost. The
         # rate stays with the holder, which hands out tokens.
-        if not request.urgent and request.tokens < 1:
+        # An unused token goes back if there is not one for every host.
+        if not request.urgent and (request.tokens < 1 or burst < 1):
             return 0.0, 0.0
         spare = allocator.bucket.tokens / (2 * max(1, len(allocator.grants)))
         return 0.0, max(1.0, float(math.floor(min(burst, spare))))
