Keep the daemon running when a background task fails

Cause: an unexpected error in one background task, such as a malformed message of a peer, would have cancelled every controller; and a booking without an identifier was cancelled with its caller's connection, which may stop it halfway. Found by reading.

--- a/egretlift/daemon/allocation.py
+++ b/egretlift/daemon/allocation.py
@@ -5,6 +5,7 @@
 import anyio
 
 from egretlift.blackboard import count
+from egretlift.daemon.tasks import start_task
 from egretlift.daemon.zone import find_allocator, my_lease
 from egretlift.quotas import (
     Allocation,
@@ -102,7 +103,7 @@
         for quota in list(board.quotas.values()):
             for zone, share in quota.shares.items():
                 if request_due(share, settings, now):
-                    board.tasks.start_soon(ask_holder, board, zone, share)
+                    start_task(board, ask_holder, zone, share)
         await anyio.sleep(0.002)
 
 
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -14,6 +14,7 @@
     staleness,
 )
 from egretlift.daemon.announcements import publish_self
+from egretlift.daemon.tasks import start_task
 from egretlift.daemon.watch import take_configuration
 from egretlift.daemon.zone import adopt_gossiped_lease, take_holders
 from egretlift.events import current_ring, observe_order, record_event
@@ -291,7 +292,7 @@
         lonely = not select_peers(board.members, board.random, 1)
         period_s = settings.gossip_period_s * (0.2 if lonely else 1.0)
         await anyio.sleep(period_s * board.random.uniform(0.8, 1.2))
-        board.tasks.start_soon(gossip_once, board)
+        start_task(board, gossip_once)
 
 
 async def spread_changes(board):
@@ -303,7 +304,7 @@
         objects, board.fresh_objects = board.fresh_objects, []
         peers = select_peers(board.members, board.random, board.settings.gossip_fanout)
         for peer in peers:
-            board.tasks.start_soon(exchange, board, peer, objects)
+            start_task(board, exchange, peer, objects)
 
 
 async def expire_members(board):
--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -21,10 +21,14 @@
 )
 from egretlift.daemon.operators import serve_operators
 from egretlift.daemon.ports import handle_caller, handle_peer, handle_upstream
+from egretlift.daemon.tasks import keep_running
 from egretlift.daemon.watch import follow_platform
 from egretlift.daemon.zone import (
     answer_question,
+    confirm_zone_lease,
     keep_zone_lease,
+    keep_zone_shares,
+    publish_seeds,
     release_zone_lease,
 )
 from egretlift.errors import EgretliftError
@@ -118,6 +122,9 @@
     spread_changes,
     follow_platform,
     keep_zone_lease,
+    confirm_zone_lease,
+    keep_zone_shares,
+    publish_seeds,
     keep_shares,
     serve_operators,
     tidy_ledger,
@@ -154,7 +161,7 @@
         async with anyio.create_task_group() as tasks:
             board.tasks = tasks
             for controller in CONTROLLERS:
-                tasks.start_soon(controller, board)
+                tasks.start_soon(keep_running, board, controller)
             await wait_for_signal(board)
             await drain(board, ports)
             board.stop.set()
--- a/egretlift/daemon/once.py
+++ b/egretlift/daemon/once.py
@@ -7,6 +7,7 @@
 
 from egretlift.blackboard import count
 from egretlift.daemon.calls import forward_to, remaining, run_call
+from egretlift.daemon.tasks import start_task
 from egretlift.errors import ConflictError, PlatformUnavailable, WriteUnsettled
 from egretlift.events import record_event
 from egretlift.idempotency import (
@@ -69,9 +70,9 @@
 
     A call without an identifier is run once for this send and never retried.
     """
-    if not call.identifier:
-        return await run_call(board, call)
     await hold_body(call.body, call.profile.body_limit_bytes)
+    if not call.identifier:
+        return await run_detached(board, call)
     kind, issued = classify_identifier(board.settings.mesh_secret, call.identifier)
     if kind is IdentifierKind.INVALID:
         refusal = Refusal(
@@ -87,6 +88,36 @@
     return await reach_home(board, call, home)
 
 
+async def run_detached(board, call):
+    """Run a call to its end even if its caller leaves.
+
+    Closing the upstream's connection could stop a booking halfway.
+    """
+    pending = Pending()
+    start_task(board, run_pending, call, pending)
+    try:
+        await pending.event.wait()
+    except BaseException:
+        pending.awaited = False
+        if pending.event.is_set():
+            close_answer(pending.answer, whole=False)
+        raise
+    return pending.answer
+
+
+async def run_pending(board, call, pending):
+    """Run a call and hand its answer to the send that waits for it, if any."""
+    pending.answer = answer_unknown(
+        "result-unknown", "query the result; it may have run"
+    )
+    try:
+        pending.answer = await run_call(board, call)
+    finally:
+        pending.event.set()
+        if not pending.awaited:
+            close_answer(pending.answer, whole=False)
+
+
 async def claim_home(board, call):
     """Return the (host, incarnation) that is home of a caller-made identifier.
 
@@ -179,7 +210,7 @@
         pending = Pending()
         add_waiter(board.ledger, *key, pending)
         if state is RecordState.FIRST:
-            board.tasks.start_soon(run_recorded, board, call, key)
+            start_task(board, run_recorded, call, key)
         return await await_record(board, call, key, pending)
     if state is RecordState.DONE:
         return repeat_answer(find_record(board.ledger, *key))
@@ -189,11 +220,12 @@
 class Pending:
     """A send of an identified call that waits for the answer."""
 
-    __slots__ = ("answer", "event")
+    __slots__ = ("answer", "awaited", "event")
 
     def __init__(self):
         self.event = anyio.Event()
         self.answer = None
+        self.awaited = True
 
 
 def refuse_record(state):
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -8,6 +8,7 @@
 
 from egretlift.blackboard import count
 from egretlift.configuration import find_quota
+from egretlift.daemon.tasks import start_task
 from egretlift.errors import ConflictError, EgretliftError
 from egretlift.events import record_event
 from egretlift.quotas import (
@@ -161,9 +162,6 @@
 
 async def keep_zone_lease(board):
     """Renew or take over the zone lease for as long as the daemon runs."""
-    board.tasks.start_soon(confirm_zone_lease, board)
-    board.tasks.start_soon(keep_zone_shares, board)
-    board.tasks.start_soon(publish_seeds, board)
     lease, settings = my_lease(board), board.settings
     # Read before the first write, so that an existing lease is respected.
     await anyio.sleep(settings.gossip_period_s * board.random.uniform(0.2, 0.6))
@@ -395,7 +393,7 @@
             write = plan_share_write(board, allocator, now)
             if write is not None:
                 board.share_writes.add(organisation)
-                board.tasks.start_soon(write_share, board, organisation, *write)
+                start_task(board, write_share, organisation, *write)
 
 
 def describe_zone_lease(board):
