Gossip few holders at a time and the zone lease only within its zone

Cause: every message carried the holders of all zones, 37 bytes each, and the zone lease, which only hosts of the same zone use.

Change: a message carries 4 holders, those with news first, each sent 42 times, then any; the zone lease goes to hosts of the same or of an unknown zone. Two more measurements, join and repair.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -669,7 +669,36 @@
             print(f"{kind}, {size}: p99 {middle:.2f} s, last {shown} s", flush=True)
 
 
+def measure_join():
+    """Print the exchanges until a new daemon knows the members, by their number."""
+    for part in (0.5, 0.99):
+        points = []
+        for size in (250, 1000, 4000):
+            peer, joining = fill_members(size), MemberTable("new")
+            draw, exchanges = random.Random(size), 0
+            while len(joining.members) < part * size:
+                exchanges += 1
+                digest = digest_table(joining)
+                merge_members(joining, 0.0, members_to_send(peer, draw, 32, digest))
+                peer.unsent.clear()
+            points.append((size, exchanges))
+        report(f"exchanges until {part:.0%} of the members are known", points, "")
+
+
+def measure_repair():
+    """Print the bytes of a reply by records that are not in both tables."""
+    points = []
+    for missing in (1, 8, 64):
+        board, peer = make_board(1000), make_board(1000 - missing)
+        request = make_gossip(board)
+        reply = anyio.run(answer_gossip, peer, request)
+        points.append((missing, request.ByteSize() + reply.ByteSize()))
+    report("bytes of an exchange by records that differ", points, "B")
+
+
 MEASUREMENTS = {
+    "join": measure_join,
+    "repair": measure_repair,
     "imports": measure_imports,
     "memory": measure_memory,
     "messages": measure_messages,
--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -72,6 +72,8 @@
         What this host holds of each organisation's rate.
     holders : dict of str to (int, str)
         Epoch and host of the holder of each zone's lease.
+    holders_sent : dict of str to ((int, str), int)
+        The holder of each zone that was gossiped last, and how often.
     allocators : dict of str to Allocator
         Allocators by organisation while this host holds its zone's lease.
     reported : list of int
@@ -92,6 +94,7 @@
         "counters",
         "fresh_objects",
         "holders",
+        "holders_sent",
         "host_records",
         "identifier_sequence",
         "incarnation",
@@ -156,6 +159,7 @@
         self.slots = {}
         self.quotas = {}
         self.holders = {}
+        self.holders_sent = {}
         self.share_wanted = anyio.Event()
         self.allocators = {}
         self.zone_shares = {}
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -1,5 +1,6 @@
 """Gossip: exchange of member records, configuration and the zone lease."""
 
+import heapq
 import itertools
 import json
 import time
@@ -40,6 +41,9 @@
 from egretlift.transport.generated import control_pb2 as pb
 
 MEMBERS_PER_MESSAGE = 32
+HOLDERS_PER_MESSAGE = 4
+# As often as a member change is sent in a mesh of 16,000 hosts.
+HOLDER_SENDS = 42
 # Keeps a message below the 4 MB limit of gRPC; the rest follows in the next one.
 OBJECTS_PER_MESSAGE = 1000
 # Part of the exchanges that go to a dead member, to find the end of a partition.
@@ -51,10 +55,17 @@
 SPREAD_DELAY_S = 0.01
 
 
-def describe_lease_message(board):
-    """Return the message of the zone lease as this host knows it."""
+def describe_lease_message(board, zone):
+    """Return the message of the zone lease as this host knows it.
+
+    Parameters
+    ----------
+    zone : str or None
+        Zone of the receiver, None if it is unknown. Only hosts of the same zone
+        use the message.
+    """
     lease = board.leases[board.settings.zone]
-    if not lease.version:
+    if not lease.version or zone not in (None, lease.zone):
         return None
     return pb.ZoneLease(
         zone=lease.zone,
@@ -63,8 +74,8 @@
     )
 
 
-def make_gossip(board, objects=(), members=()):
-    """Return a gossip request with what every exchange carries."""
+def make_gossip(board, objects=(), members=(), zone=None):
+    """Return a gossip request to a host of a zone with what every exchange carries."""
     age = staleness(board.catalog, time.monotonic())
     return pb.GossipRequest(
         sender=pack_member(board.me),
@@ -75,17 +86,34 @@
         catalog_complete=board.catalog_complete,
         staleness_s=age,
         objects=[pack_object(item) for item in objects[:OBJECTS_PER_MESSAGE]],
-        zone_lease=describe_lease_message(board),
+        zone_lease=describe_lease_message(board, zone),
         holders=pack_holders(board),
         order=current_ring().order,
     )
 
 
 def pack_holders(board):
-    """Return the messages of the zone lease holders that this host knows."""
+    """Return the messages of a few zone lease holders: news first, then any.
+
+    Holders of all of 18 zones would be the largest part of a message that
+    otherwise carries no news.
+    """
+    sends = {}
+    for zone, known in board.holders.items():
+        sent, times = board.holders_sent.get(zone, (known, 0))
+        sends[zone] = times if sent == known else 0
+    draw = board.random.random
+    chosen = heapq.nsmallest(
+        HOLDERS_PER_MESSAGE, sends, key=lambda zone: (sends[zone], draw())
+    )
+    for zone in chosen:
+        times = min(sends[zone] + 1, HOLDER_SENDS)
+        board.holders_sent[zone] = (board.holders[zone], times)
     return [
-        pb.Holder(zone=zone, epoch=epoch, holder=holder)
-        for zone, (epoch, holder) in board.holders.items()
+        pb.Holder(
+            zone=zone, epoch=board.holders[zone][0], holder=board.holders[zone][1]
+        )
+        for zone in chosen
     ]
 
 
@@ -155,7 +183,7 @@
         catalog_complete=board.catalog_complete,
         staleness_s=staleness(board.catalog, time.monotonic()),
         objects=[pack_object(item) for item in missing[:OBJECTS_PER_MESSAGE]],
-        zone_lease=describe_lease_message(board),
+        zone_lease=describe_lease_message(board, request.sender.zone or None),
         holders=pack_holders(board),
         order=current_ring().order,
         wants_objects=not missing
@@ -186,13 +214,13 @@
     count(board, "gossip_exchanges")
     changes = members_to_send(board.members, board.random, MEMBERS_PER_MESSAGE)
     try:
-        request = make_gossip(board, objects, changes)
+        request = make_gossip(board, objects, changes, member.zone)
         reply = await send_control(board, member, "Gossip", request)
         take_exchange(board, reply)
         if reply.wants_objects:
             missing = missing_objects(board, reply.revision, reply.catalog_digest)
             if missing:
-                request = make_gossip(board, missing)
+                request = make_gossip(board, missing, zone=member.zone)
                 take_exchange(
                     board, await send_control(board, member, "Gossip", request)
                 )
@@ -206,6 +234,7 @@
     """Address of a daemon of which no member record is known yet."""
 
     __slots__ = ("address", "control_port")
+    zone = None
 
     def __init__(self, address, control_port):
         self.address = address
--- a/egretlift/daemon/tests/test_gossip.py
+++ b/egretlift/daemon/tests/test_gossip.py
@@ -6,7 +6,12 @@
 
 from egretlift.blackboard import Blackboard
 from egretlift.daemon.announcements import publish_self
-from egretlift.daemon.gossip import pick_partner
+from egretlift.daemon.gossip import (
+    HOLDER_SENDS,
+    HOLDERS_PER_MESSAGE,
+    make_gossip,
+    pick_partner,
+)
 from egretlift.membership import Member, merge_members
 from egretlift.settings import Settings
 
@@ -60,5 +65,39 @@
         self.assertIn(chosen.count(3), range(120, 280))
 
 
+class TestHolders(unittest.TestCase):
+    """Guards against holders of zones that gossip leaves out."""
+
+    def make_messages(self, board, count):
+        return [make_gossip(board, zone="z1") for _ in range(count)]
+
+    def test_news_comes_first(self):
+        board = make_board(())
+        board.holders = {f"z{number}": (1, "h") for number in range(18)}
+        self.make_messages(board, 1000)
+        for zone in ("z3", "z17"):
+            board.holders[zone] = (2, "h2")
+        for message in self.make_messages(board, HOLDER_SENDS):
+            self.assertEqual(len(message.holders), HOLDERS_PER_MESSAGE)
+            told = {(item.zone, item.epoch, item.holder) for item in message.holders}
+            self.assertLessEqual({("z3", 2, "h2"), ("z17", 2, "h2")}, told)
+
+    def test_every_holder_is_told(self):
+        board = make_board(())
+        board.holders = {f"z{number}": (1, "h") for number in range(18)}
+        for _ in range(2):
+            messages = self.make_messages(board, 200)
+            told = {item.zone for message in messages for item in message.holders}
+            self.assertEqual(told, set(board.holders))
+
+    def test_zone_lease_goes_to_its_own_zone(self):
+        board = make_board(())
+        board.leases["a"].version = 7
+        board.lease_specs["a"] = {}
+        for zone, told in (("a", True), (None, True), ("z1", False)):
+            message = make_gossip(board, zone=zone)
+            self.assertEqual(message.HasField("zone_lease"), told)
+
+
 if __name__ == "__main__":
     unittest.main()
