Fill replies to a differing table with 8 records, with 500 for a joining peer

Cause: a reply was filled up to 32 records whenever the tables differed. In a large mesh some change is always under way, so nearly every reply would be full; and a new daemon would learn 16,000 members only 32 at a time.

Change: a request states how many members its sender knows. A reply is filled to 8 records, or to 500 if the peer knows less than 0.9 of the members.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -37,7 +37,12 @@
     merge_objects,
     objects_after,
 )
-from egretlift.daemon.gossip import answer_gossip, make_gossip, take_exchange
+from egretlift.daemon.gossip import (
+    MEMBERS_FOR_JOINING,
+    answer_gossip,
+    make_gossip,
+    take_exchange,
+)
 from egretlift.idempotency import Ledger, open_record
 from egretlift.membership import (
     Member,
@@ -673,13 +678,14 @@
     """Print the exchanges until a new daemon knows the members, by their number."""
     for part in (0.5, 0.99):
         points = []
-        for size in (250, 1000, 4000):
+        for size in (1000, 4000, 16000):
             peer, joining = fill_members(size), MemberTable("new")
             draw, exchanges = random.Random(size), 0
             while len(joining.members) < part * size:
                 exchanges += 1
                 digest = digest_table(joining)
-                merge_members(joining, 0.0, members_to_send(peer, draw, 32, digest))
+                news = members_to_send(peer, draw, 32, digest, MEMBERS_FOR_JOINING)
+                merge_members(joining, 0.0, news)
                 peer.unsent.clear()
             points.append((size, exchanges))
         report(f"exchanges until {part:.0%} of the members are known", points, "")
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -41,6 +41,12 @@
 from egretlift.transport.generated import control_pb2 as pb
 
 MEMBERS_PER_MESSAGE = 32
+# Records of a reply to a peer whose table differs: few repair what was missed, many
+# let a new daemon learn of a large mesh within minutes.
+MEMBERS_FOR_REPAIR = 8
+MEMBERS_FOR_JOINING = 500
+# Part of the members below which a peer counts as joining.
+JOINED_PART = 0.9
 HOLDERS_PER_MESSAGE = 4
 # As often as a member change is sent in a mesh of 16,000 hosts.
 HOLDER_SENDS = 42
@@ -81,6 +87,7 @@
         sender=pack_member(board.me),
         members=[pack_member(member) for member in members],
         member_digest=digest_table(board.members),
+        member_count=len(board.members.members),
         revision=board.catalog.revision,
         catalog_digest=digest_catalog(board.catalog),
         catalog_complete=board.catalog_complete,
@@ -163,12 +170,27 @@
     return objects_after(catalog, 0 if revision == catalog.revision else revision)
 
 
+def choose_fill(board, request):
+    """Return how many records a reply to a peer with another table is filled to.
+
+    In a large mesh some change is always under way, so tables nearly always
+    differ; a peer that knows few members has just joined.
+    """
+    known = len(board.members.members)
+    joining = 0 < request.member_count < JOINED_PART * known
+    return MEMBERS_FOR_JOINING if joining else MEMBERS_FOR_REPAIR
+
+
 async def answer_gossip(board, request):
     """Answer a gossip exchange of another daemon."""
     count(board, "control_bytes", "received", request.ByteSize())
     take_exchange(board, request)
     members = members_to_send(
-        board.members, board.random, MEMBERS_PER_MESSAGE, request.member_digest
+        board.members,
+        board.random,
+        MEMBERS_PER_MESSAGE,
+        request.member_digest,
+        choose_fill(board, request),
     )
     known = board.members.members.get(request.sender.host)
     if known is not None and known not in members:
--- a/egretlift/daemon/tests/test_gossip.py
+++ b/egretlift/daemon/tests/test_gossip.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import anyio
 from nose2.tools import params
 
 from egretlift.blackboard import Blackboard
@@ -9,6 +10,7 @@
 from egretlift.daemon.gossip import (
     HOLDER_SENDS,
     HOLDERS_PER_MESSAGE,
+    answer_gossip,
     make_gossip,
     pick_partner,
 )
@@ -99,5 +101,20 @@
             self.assertEqual(message.HasField("zone_lease"), told)
 
 
+class TestFill(unittest.TestCase):
+    """Guards against full replies for one change and against slow joining."""
+
+    @params((0, 8), (1, 500), (500, 500), (950, 8), (1001, 8))
+    def test_fill(self, count, expected):
+        board = make_board(())
+        merge_members(board.members, 0.0, map(make_member, range(2, 1002)))
+        board.members.unsent.clear()
+        request = make_gossip(make_board(()))
+        request.member_digest, request.member_count = "other", count
+        reply = anyio.run(answer_gossip, board, request)
+        # The sender's own record is added if it is not among them.
+        self.assertIn(len(reply.members), (expected, expected + 1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/egretlift/membership/table.py
+++ b/egretlift/membership/table.py
@@ -448,7 +448,7 @@
     return list(table.services.get(service, {}).values())
 
 
-def members_to_send(table, random, limit, peer_digest=None):
+def members_to_send(table, random, limit, peer_digest=None, fill=None):
     """Return the records for one message to a peer and count them as sent.
 
     Parameters
@@ -461,6 +461,8 @@
         Digest of the peer's table. If it equals this table's, nothing is sent.
         If it differs, the message is filled with random records, which repairs
         what the sends of changes missed. If it is unknown, only changes are sent.
+    fill : int, optional
+        Number of records up to which the message is filled; ``limit`` if None.
 
     Returns
     -------
@@ -478,11 +480,12 @@
         if table.unsent[host] >= most:
             del table.unsent[host]
     found = [table.members[host] for host in hosts]
-    if peer_digest is None or len(found) >= limit:
+    fill = limit if fill is None else fill
+    if peer_digest is None or len(found) >= fill:
         return found
     chosen = set(hosts)
     return found + sample_members(
-        table, random, limit - len(found), lambda member: member.host not in chosen
+        table, random, fill - len(found), lambda member: member.host not in chosen
     )
 
 
