Treat what a joining daemon learns in bulk as no news

Cause: every record learnt while joining counted as a change to spread, so a daemon that restarts in a mesh of 16,000 would send 16,000 known records 42 times each, in full messages for hours. Also, the large replies stopped at 0.9 of the members.

Change: records from a message longer than a normal one are not spread, and a peer counts as joining below 0.99 of the members.

--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -46,7 +46,7 @@
 MEMBERS_FOR_REPAIR = 8
 MEMBERS_FOR_JOINING = 500
 # Part of the members below which a peer counts as joining.
-JOINED_PART = 0.9
+JOINED_PART = 0.99
 HOLDERS_PER_MESSAGE = 4
 # As often as a member change is sent in a mesh of 16,000 hosts.
 HOLDER_SENDS = 42
@@ -127,9 +127,14 @@
 def take_members(board, messages):
     """Merge member records and refute false news of this host."""
     now = time.monotonic()
+    # A long message tells a joining daemon what all others know already.
+    is_news = len(messages) <= MEMBERS_PER_MESSAGE + 2
     for member in merge_members(board.members, now, unpack_members(messages)):
         if member.host == board.me.host:
             continue
+        if not is_news:
+            board.members.unsent.pop(member.host, None)
+            continue
         record_event(
             "member-changed",
             member=member.host,
