Let standbys meet a platform outage so that the holder goes on

Cause: a standby confirms an outage only if its own last platform call failed, but it made no call of its own while its pending watch stood, so no standby ever confirmed and every holder lapsed with its lease. Change: a standby that sees no renewal for 1.5 periods reads the zone lease itself and confirms from the result.

--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -8,7 +8,7 @@
 
 from egretlift.blackboard import count
 from egretlift.configuration import find_quota
-from egretlift.errors import ConflictError, EgretliftError
+from egretlift.errors import ConflictError, EgretliftError, NotFound
 from egretlift.events import record_event
 from egretlift.quotas import (
     LeaseState,
@@ -27,6 +27,9 @@
 from egretlift.transport.generated import control_pb2 as pb
 
 TICK_S = 0.1
+# A standby asks the platform itself when a renewal is later than this many periods,
+# early enough to confirm an outage before the lease lapses.
+LATE_RENEWALS = 1.5
 
 
 def my_lease(board):
@@ -162,6 +165,7 @@
 async def keep_zone_lease(board):
     """Renew or take over the zone lease for as long as the daemon runs."""
     board.tasks.start_soon(confirm_zone_lease, board)
+    board.tasks.start_soon(check_renewals, board)
     board.tasks.start_soon(keep_zone_shares, board)
     board.tasks.start_soon(publish_seeds, board)
     lease, settings = my_lease(board), board.settings
@@ -176,6 +180,37 @@
             await write_lease(board, *write, now)
 
 
+async def check_renewals(board):
+    """Ask the platform while this standby sees no renewal of the zone lease.
+
+    A standby confirms an outage to the holder only if it has met it itself. Its
+    pending watch does not show an outage in which the platform does not answer.
+    """
+    settings, lease = board.settings, my_lease(board)
+    me = (settings.host, board.incarnation)
+    late_s = LATE_RENEWALS * settings.zone_lease_renewal_s
+    while True:
+        await anyio.sleep(settings.zone_lease_s / 10)
+        late = time.monotonic() - lease.seen_at > late_s
+        if late and me in lease.lease.standbys and not lease.held_epoch:
+            await read_lease(board)
+
+
+async def read_lease(board):
+    """Read the zone lease and record whether the platform answered."""
+    lease, sent_at = my_lease(board), time.monotonic()
+    count(board, "platform_calls", "zone-lease")
+    try:
+        item = await board.platform.get_object("zone-lease", lease.zone)
+    except NotFound:
+        zone_lease.record_platform(lease, True)
+    except EgretliftError:
+        zone_lease.record_platform(lease, False)
+    else:
+        zone_lease.record_platform(lease, True)
+        adopt_lease(board, item, time.monotonic(), sent_at)
+
+
 async def confirm_zone_lease(board):
     """Ask the standbys to confirm while the platform does not answer the holder."""
     settings, lease = board.settings, my_lease(board)
