Remove claims from the platform after a retention

Cause: claims of caller-made identifiers were never removed, so the platform grew without bound. Change: the holder of the first zone collects new claims once a minute into batches whose ages it keeps in an index, and removes a batch past claim-retention-s (86400). Ages come from the remover's own clock; a successor uses the stated ages as lower bounds.

--- /dev/null
+++ b/egretlift/daemon/claims.py
@@ -0,0 +1,151 @@
+"""Removal of old claims from the platform by one daemon of the mesh.
+
+Every step can be repeated and every write is conditional, so two daemons that both
+take themselves for the remover only do work twice. A platform that fails ends the
+step; the state is read again at the next one.
+"""
+
+import time
+
+import anyio
+
+from egretlift.blackboard import count
+from egretlift.daemon.zone import list_other_zones, my_lease
+from egretlift.errors import ConflictError, EgretliftError, NotFound
+from egretlift.events import record_event
+from egretlift.idempotency import (
+    RemovalState,
+    adopt_index,
+    close_batch,
+    collect_claims,
+    due_batch,
+    index_due,
+    index_spec,
+    record_batch,
+    record_index,
+)
+from egretlift.quotas import may_hold
+
+# Longest time between two reads of the new claims, which are held in memory.
+READ_PERIOD_S = 60.0
+READS_PER_RETENTION = 200
+# At most 50 removals a second, so that they take an eighth of 400 writes a second.
+REMOVAL_GAP_S = 0.02
+INDEX = "index"
+
+
+def is_remover(board):
+    """Return whether this host holds the lease of the first zone that has a holder."""
+    zone = board.settings.zone
+    holds = may_hold(my_lease(board), board.settings, time.monotonic())
+    return holds and all(zone < other for other in list_other_zones(board))
+
+
+async def remove_claims(board):
+    """Remove claims past their retention for as long as the daemon runs."""
+    settings = board.settings
+    period_s = min(READ_PERIOD_S, settings.claim_retention_s / READS_PER_RETENTION)
+    state = None
+    while True:
+        await anyio.sleep(period_s * board.random.uniform(0.9, 1.1))
+        if not is_remover(board):
+            state = None
+            continue
+        try:
+            if state is None:
+                state = await read_index(board)
+            await read_claims(board, state)
+            await write_batches(board, state)
+            await remove_due(board, state)
+            if index_due(state, settings, time.monotonic()):
+                await write_index(board, state)
+        except (EgretliftError, KeyError, TypeError, ValueError) as error:
+            # After a lost answer or a conflict the index says what is in force. The
+            # other errors come from an index or batch that somebody else wrote.
+            record_event("claims-not-removed", error=repr(error))
+            state = None
+
+
+async def read_index(board):
+    """Return the state of the index in the platform, empty if there is none."""
+    count(board, "platform_calls", "claim-batch")
+    try:
+        item = await board.platform.get_object("claim-batch", INDEX)
+    except NotFound:
+        return RemovalState(time.monotonic())
+    return adopt_index(time.monotonic(), item["revision"], item["spec"])
+
+
+async def read_claims(board, state):
+    """Collect the claims that were created since the last read."""
+    count(board, "platform_calls", "claim-batch")
+    revision, claims = await board.platform.watch(("claim",), state.read_to, 0)
+    collect_claims(state, time.monotonic(), revision, claims)
+
+
+async def write_batches(board, state):
+    """Write the batches that are to be closed, and then the index that names them."""
+    while True:
+        closed = close_batch(state, board.settings, time.monotonic())
+        if closed is None:
+            return
+        batch, claims = closed
+        try:
+            await write_batch(board, batch.name, {"claims": claims}, 0)
+        except ConflictError:
+            # Left by a remover that stopped before it wrote the index. Claims of
+            # the same revisions that it lists besides have been removed since.
+            pass
+        now = time.monotonic()
+        spec = index_spec(state, board.settings, now, batch)
+        item = await write_batch(board, INDEX, spec, state.version)
+        record_batch(state, now, item["revision"], batch, claims)
+
+
+async def write_batch(board, name, spec, version):
+    """Write an object of the remover under a condition."""
+    count(board, "platform_calls", "claim-batch")
+    return await board.platform.put_object("claim-batch", name, spec, version)
+
+
+async def remove_due(board, state):
+    """Remove the claims of every batch that is past the retention."""
+    while is_remover(board):
+        batch = due_batch(state, board.settings, time.monotonic())
+        if batch is None:
+            return
+        await remove_batch(board, batch.name)
+        state.batches.remove(batch)
+        await write_index(board, state)
+
+
+async def write_index(board, state):
+    """Write the index with the ages that the batches have now."""
+    now = time.monotonic()
+    spec = index_spec(state, board.settings, now)
+    item = await write_batch(board, INDEX, spec, state.version)
+    record_index(state, now, item["revision"])
+
+
+async def remove_batch(board, name):
+    """Remove the claims of a batch, and the batch."""
+    count(board, "platform_calls", "claim-batch")
+    try:
+        item = await board.platform.get_object("claim-batch", name)
+    except NotFound:
+        return
+    for claim, revision in item["spec"]["claims"]:
+        await remove_object(board, "claim", claim, revision)
+        count(board, "claims_removed")
+        await anyio.sleep(REMOVAL_GAP_S)
+    await remove_object(board, "claim-batch", name, item["revision"])
+
+
+async def remove_object(board, kind, name, revision):
+    """Remove one revision of an object; a later one stays."""
+    count(board, "platform_calls", kind)
+    try:
+        await board.platform.delete_object(kind, name, revision)
+    except (NotFound, ConflictError):
+        # Removed before, or the identifier was used again after a removal.
+        pass
--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -10,6 +10,7 @@
 from egretlift.blackboard import Blackboard
 from egretlift.daemon.allocation import allocate_here, keep_shares
 from egretlift.daemon.announcements import expire_announcement, publish_self
+from egretlift.daemon.claims import remove_claims
 from egretlift.daemon.execution import expire_queue
 from egretlift.daemon.gossip import (
     answer_gossip,
@@ -121,6 +122,7 @@
     keep_shares,
     serve_operators,
     tidy_ledger,
+    remove_claims,
 )
 
 
--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -31,6 +31,10 @@
     "refused_admission": ("reason", "Calls refused by the admission queue"),
     "resends": ("state", "Resends of identified calls, by state of the record"),
     "claims_unsettled": ("error", "Claims that the platform did not settle"),
+    "claims_removed": (
+        "none",
+        "Claims removed from the platform after their retention",
+    ),
     "draws_failed": ("organisation", "Tokens lapsed between arrival and dispatch"),
     "contexts_forged": ("none", "Peer calls without a valid signature"),
     "gossip_failed": ("none", "Gossip exchanges without a reply"),
--- a/egretlift/settings.py
+++ b/egretlift/settings.py
@@ -177,6 +177,7 @@
     ("ledger-answer-bytes", read_count, "65536", "largest answer kept"),
     ("ledger-total-bytes", read_count, "4000000", "memory of kept answers"),
     ("identifier-lifetime-s", read_positive, "900", "life of an identifier"),
+    ("claim-retention-s", read_positive, "86400", "seconds a claim is kept at least"),
 )
 
 
@@ -288,6 +289,7 @@
     ("zone_lease_renewal_s", "zone_lease_s"),
     ("zone_lease_s", "zone_autonomy_s"),
     ("share_renewal_s", "share_lease_s"),
+    ("identifier_lifetime_s", "claim_retention_s"),
     ("limit_minimum", "limit_maximum"),
 )
 
