--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -10,6 +10,7 @@
 from egretlift.blackboard import Blackboard
 from egretlift.daemon.allocation import allocate_here, keep_shares
 from egretlift.daemon.announcements import expire_announcement, publish_self
+from egretlift.daemon.claims import remove_claims
 from egretlift.daemon.execution import expire_queue
 from egretlift.daemon.gossip import (
     answer_gossip,
@@ -25,6 +26,7 @@
 from egretlift.daemon.watch import follow_platform
 from egretlift.daemon.zone import (
     answer_question,
+    check_renewals,
     confirm_zone_lease,
     keep_zone_lease,
     keep_zone_shares,
@@ -123,11 +125,13 @@
     follow_platform,
     keep_zone_lease,
     confirm_zone_lease,
+    check_renewals,
     keep_zone_shares,
     publish_seeds,
     keep_shares,
     serve_operators,
     tidy_ledger,
+    remove_claims,
 )
 
 
