Keep the zone lease while a whole zone is cut off from the platform

Cause: a standby confirms to its holder only if it cannot reach the platform either, but only the result of its own lease writes was recorded, and a standby does not write. It answered "reachable", the holder's lease lapsed, and the zone refused every keyed call (rate). A standby whose watch waited on a frozen connection would in addition have noticed only after the watch timeout of 20 s, twice the lease.

Change: the result of each watch is recorded for the lease. A standby that is asked reads the lease object with the platform's time limit, so that the next question finds the true state.

Ruled out: lost zone shares (each zone held its fraction) and lost membership (hosts of a zone saw each other throughout).

--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -89,6 +89,7 @@
         "catalog",
         "catalog_complete",
         "channels",
+        "checking_platform",
         "counters",
         "fresh_objects",
         "holders",
@@ -178,6 +179,7 @@
         self.platform = None
         self.platform_reached_at = None
         self.platform_failed_at = None
+        self.checking_platform = False
         self.open_requests = 0
         self.reported = [0, 0]
         self.stopping = False
--- a/egretlift/daemon/watch.py
+++ b/egretlift/daemon/watch.py
@@ -20,9 +20,11 @@
     adopt_seeds,
     adopt_zone_share,
     is_watcher,
+    my_lease,
 )
 from egretlift.errors import EgretliftError
 from egretlift.events import record_event
+from egretlift.quotas.zone_lease import record_platform
 
 CONFIGURATION_KINDS = ("profile", "organisation", "key")
 WATCHED_KINDS = (*CONFIGURATION_KINDS, "zone-lease", "zone-share", "zone-seed")
@@ -64,8 +66,13 @@
 
 
 def note_platform(board, error=None):
-    """Record whether the last platform call succeeded."""
+    """Record whether the last platform call succeeded.
+
+    The zone lease has to know, since a standby confirms to its holder only that
+    the platform does not answer the standby either.
+    """
     now = time.monotonic()
+    record_platform(my_lease(board), error is None)
     if error is None:
         if board.platform_failed_at is not None:
             record_event("platform-reached")
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -8,7 +8,7 @@
 
 from egretlift.blackboard import count
 from egretlift.configuration import find_quota
-from egretlift.errors import ConflictError, EgretliftError
+from egretlift.errors import ConflictError, EgretliftError, NotFound
 from egretlift.events import record_event
 from egretlift.quotas import (
     LeaseState,
@@ -105,8 +105,35 @@
         record_event("zone-lease-lost", zone=lease.zone)
 
 
+async def check_platform(board):
+    """Read the zone's lease to find out whether this host reaches the platform.
+
+    Without a check, a standby whose watch waits on a dead connection takes the
+    platform for reachable until the watch ends, which is longer than the lease.
+    """
+    if board.checking_platform:
+        return
+    board.checking_platform = True
+    lease, sent_at = my_lease(board), time.monotonic()
+    count(board, "platform_calls", "zone-lease")
+    try:
+        item = await board.platform.get_object("zone-lease", lease.zone)
+    except NotFound:
+        zone_lease.record_platform(lease, True)
+    except EgretliftError:
+        zone_lease.record_platform(lease, False)
+    else:
+        zone_lease.record_platform(lease, True)
+        adopt_lease(board, item, time.monotonic(), sent_at)
+    finally:
+        board.checking_platform = False
+
+
 async def answer_question(board, question):
     """Answer the holder's question whether the platform is out for all."""
+    if question.zone == board.settings.zone and my_lease(board).reachable:
+        # The next question, a tenth of a lease later, finds the result.
+        board.tasks.start_soon(check_platform, board)
     confirmed = question.zone == board.settings.zone and zone_lease.confirm_lease(
         my_lease(board),
         board.settings,
