End the daemon when one of its controllers fails

Cause: the server of the operators' port is shielded from cancellation and ended only by the stop event. After a controller had failed, the task group cancelled the others and then waited for that server for ever: the daemon kept its ports, announced itself by gossip replies and refused keyed calls (rate), without a log line.

Change: a cancellation sets the stop event as well, so that the daemon ends with status 1 and the traceback, and is restarted.

--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -168,7 +168,22 @@
 
 
 async def serve_operators(board):
-    """Serve the operators' port until the daemon stops."""
+    """Serve the operators' port until the daemon stops.
+
+    The server ends by its own trigger, which a cancellation has to set as well:
+    otherwise the daemon would live on without its controllers after one of them
+    failed.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_operators_server, board)
+        try:
+            await board.stop.wait()
+        finally:
+            board.stop.set()
+
+
+async def run_operators_server(board):
+    """Serve the operators' port until the trigger is set."""
     config = Config()
     address = board.settings.address
     config.bind = [f"{address}:{board.settings.operators_port}"]
