Keep requests whole to the end of a planned stop of the daemon

Causes: (1) After the last request in flight the daemon told others that it had left and closed all connections; a caller that kept reusing a connection could send a request in between and got no answer. (2) The upstream's port stopped listening after 1 s, so that calls that still ran could make no outgoing calls on new connections. (3) The release of the zone lease came before everything else and could take two time limits of the platform.

Change: while stopping, each answer closes its connection; the upstream's port stays open until the last call has ended; idle connections are closed last, after which open requests are awaited once more; the lease is released meanwhile. The stand-in of the upstream now counts answers on their way as in flight when it stops, as a planned stop has to.

Ruled out: cancelled handlers (the log shows every request answered before the close) and the client's own repeats (switched off).

--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -39,7 +39,7 @@
     serve_control,
 )
 from egretlift.transport.forward import open_session
-from egretlift.transport.server import listen
+from egretlift.transport.server import close_when_idle, listen
 
 # Other daemons learn within this time that the host takes no new work.
 LINGER_S = 1.0
@@ -56,16 +56,16 @@
 
 
 async def open_ports(board):
-    """Open the HTTP ports and return their (server, listener) pairs."""
+    """Open the HTTP ports and return their (server, listener) pairs by use."""
     settings = board.settings
-    return [
-        await listen(bind_board(handle, board), settings, address, port)
-        for handle, address, port in (
-            (handle_peer, settings.address, settings.peer_port),
-            (handle_upstream, UPSTREAM_ADDRESS, settings.upstream_port),
-            (handle_caller, settings.address, settings.caller_port),
+    return {
+        use: await listen(bind_board(handle, board), settings, address, port)
+        for use, handle, address, port in (
+            ("peer", handle_peer, settings.address, settings.peer_port),
+            ("upstream", handle_upstream, UPSTREAM_ADDRESS, settings.upstream_port),
+            ("caller", handle_caller, settings.address, settings.caller_port),
         )
-    ]
+    }
 
 
 async def tidy_ledger(board):
@@ -89,27 +89,45 @@
     """Stop gracefully: finish every request that is in flight.
 
     New requests of callers are forwarded to other hosts while this host's own
-    upstream gets no new work.
+    upstream gets no new work. Each answer closes its connection, so that callers
+    that reuse connections move to other hosts.
     """
-    settings = board.settings
     board.stopping = True
     record_event("stopping", open_requests=board.open_requests)
     publish_self(board, "draining")
-    await release_zone_lease(board)
-    with anyio.move_on_after(settings.drain_limit_s):
-        await anyio.sleep(LINGER_S)
-        for _, listener in ports:
-            listener.close()
-        while board.open_requests or board.calls:
-            await anyio.sleep(0.02)
-    if board.open_requests:
-        record_event("drain-limit-reached", open_requests=board.open_requests)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(release_zone_lease, board)
+        tasks.start_soon(finish_requests, board, ports)
     await say_goodbye(board)
-    for server, _ in ports:
+    for server, _ in ports.values():
+        close_when_idle(server)
+    # A request may have arrived on a connection just before it closed.
+    with anyio.move_on_after(board.settings.drain_limit_s):
+        await wait_until_idle(board)
+    for server, listener in ports.values():
+        listener.close()
         await server.shutdown(1)
     record_event("stopped")
 
 
+async def finish_requests(board, ports):
+    """Accept no new connections after a while and wait for open requests."""
+    with anyio.move_on_after(board.settings.drain_limit_s):
+        await anyio.sleep(LINGER_S)
+        # The upstream's port stays open: calls that still run make outgoing calls.
+        for use in ("peer", "caller"):
+            ports[use][1].close()
+        await wait_until_idle(board)
+    if board.open_requests:
+        record_event("drain-limit-reached", open_requests=board.open_requests)
+
+
+async def wait_until_idle(board):
+    """Wait until no request is in flight."""
+    while board.open_requests or board.calls:
+        await anyio.sleep(0.02)
+
+
 CONTROLLERS = (
     expire_queue,
     expire_announcement,
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -462,7 +462,7 @@
         if answer.outcome is not Outcome.WHOLE:
             report_failure(board, call, answer)
         extra = label(board, call, answer) if label else ()
-        return await send_answer(request, answer, extra)
+        return await send_answer(request, answer, extra, board.stopping)
     finally:
         board.open_requests -= 1
 
@@ -503,11 +503,16 @@
     return headers
 
 
-async def send_answer(request, answer, extra=()):
-    """Send an answer; a truncated body closes the connection without an end."""
+async def send_answer(request, answer, extra=(), closing=False):
+    """Send an answer; a truncated body closes the connection without an end.
+
+    ``closing`` tells the caller to send its next request on a new connection.
+    """
     headers = [*answer.headers, *label_answer(answer), *extra]
     if answer.body is not None:
         response = web.Response(status=answer.status, body=answer.body)
+        if closing:
+            response.force_close()
         fill_headers(response, headers, skip="content-length")
         if ends_connection(request):
             response.force_close()
@@ -516,6 +521,8 @@
         await response.write_eof()
         return response
     response = web.StreamResponse(status=answer.status)
+    if closing:
+        response.force_close()
     fill_headers(response, headers)
     if ends_connection(request):
         response.force_close()
--- a/egretlift/transport/server.py
+++ b/egretlift/transport/server.py
@@ -120,3 +120,9 @@
         open_connection, address, port, backlog=1024, reuse_address=True
     )
     return server, listener
+
+
+def close_when_idle(server):
+    """Close each connection of a server once its current request is answered."""
+    for connection in list(server.connections):
+        connection.close()
--- a/standins/execution.py
+++ b/standins/execution.py
@@ -211,4 +211,8 @@
         status, fields = await run_in_slot(upstream, request, arrived, limit)
     finally:
         upstream.slots.release()
-    return await send_answer(upstream, request, status, fields)
+    upstream.answering += 1
+    try:
+        return await send_answer(upstream, request, status, fields)
+    finally:
+        upstream.answering -= 1
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -76,6 +76,7 @@
     """Options, behaviour, slots and records of one upstream."""
 
     __slots__ = (
+        "answering",
         "behaviour",
         "options",
         "random",
@@ -98,6 +99,7 @@
         self.slots = asyncio.Semaphore(self.options["slots"])
         self.started = time.monotonic()
         self.waiting = 0
+        self.answering = 0
         self.running = 0
         self.session = None
 
@@ -187,13 +189,18 @@
     return runner, port, asyncio.ensure_future(announce(upstream, port))
 
 
+def count_open(upstream):
+    """Return the number of requests that are not answered whole."""
+    return upstream.running + upstream.waiting + upstream.answering
+
+
 async def stop_upstream(upstream, runner, announcing):
     """Drain, wait for the requests in flight and leave."""
     # Cancelled first, so that no announcement overtakes the drain.
     announcing.cancel()
     await leave_daemon(upstream, "drain")
     limit = time.monotonic() + upstream.options["drain_limit_s"]
-    while upstream.running + upstream.waiting and time.monotonic() < limit:
+    while count_open(upstream) and time.monotonic() < limit:
         await asyncio.sleep(0.02)
     await leave_daemon(upstream, "leave")
     await runner.cleanup()
