Ignore announcements that were sent before a drain or leave

Cause: an announcement and a drain travel on different connections, so an announcement sent first can arrive last. It put the draining upstream back into service for a whole lease.

An upstream that is started again right after it left is taken one announcement later.

--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -26,9 +26,19 @@
         ``absent``, ``serving``, ``draining`` or ``left``.
     expires_at : float
         End of the announcement's lease, monotonic seconds.
+    closed_until : float
+        Until when announcements are ignored after a drain or leave.
     """
 
-    __slots__ = ("address", "expires_at", "port", "routes", "service", "status")
+    __slots__ = (
+        "address",
+        "closed_until",
+        "expires_at",
+        "port",
+        "routes",
+        "service",
+        "status",
+    )
 
     def __init__(self):
         self.service = ""
@@ -37,6 +47,7 @@
         self.routes = []
         self.status = "absent"
         self.expires_at = 0.0
+        self.closed_until = 0.0
 
 
 class Counters:
--- a/egretlift/daemon/announcements.py
+++ b/egretlift/daemon/announcements.py
@@ -7,6 +7,11 @@
 from egretlift.events import record_event
 from egretlift.membership import advance_member, merge_members, parse_announcement
 
+# An upstream announces three times in each lease, and gives up an announcement when
+# the next one is due. A third of the lease after a drain or leave, none that was sent
+# before it is still on its way.
+LATE_PART = 3
+
 
 def publish_self(board, status, **changes):
     """Give the own member record a new version and spread it soon."""
@@ -18,6 +23,12 @@
 def accept_announcement(board, body):
     """Take an announcement, renewing its lease.
 
+    Returns
+    -------
+    bool
+        False if it comes so soon after a drain or leave that it was probably sent
+        before it.
+
     Raises
     ------
     ExceptionGroup
@@ -25,6 +36,8 @@
     """
     announcement = parse_announcement(body)
     upstream = board.upstream
+    if time.monotonic() < upstream.closed_until:
+        return False
     changed = (
         upstream.status != "serving"
         or upstream.service != announcement.service
@@ -34,7 +47,7 @@
     )
     upstream.expires_at = time.monotonic() + board.settings.announcement_lease_s
     if not changed:
-        return
+        return True
     upstream.service = announcement.service
     upstream.address = announcement.address
     upstream.port = announcement.port
@@ -47,11 +60,14 @@
         service=announcement.service,
         routes=announcement.routes,
     )
+    return True
 
 
 def leave_upstream(board, kind):
     """Send the upstream no new work, after ``drain``, ``leave`` or a lapse."""
     board.upstream.status = "left" if kind == "leave" else "draining"
+    wait_s = board.settings.announcement_lease_s / LATE_PART
+    board.upstream.closed_until = time.monotonic() + wait_s
     record_event("upstream-leaving", kind=kind, service=board.upstream.service)
     publish_self(board, "draining")
 
