--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -28,9 +28,6 @@
 from egretlift.transport.generated import control_pb2 as pb
 
 TICK_S = 0.1
-# A standby asks the platform itself when a renewal is later than this many periods,
-# early enough to confirm an outage before the lease lapses.
-LATE_RENEWALS = 1.5
 
 
 def my_lease(board):
@@ -109,8 +106,35 @@
         record_event("zone-lease-lost", zone=lease.zone)
 
 
+async def check_platform(board):
+    """Read the zone's lease to find out whether this host reaches the platform.
+
+    Without a check, a standby whose watch waits on a dead connection takes the
+    platform for reachable until the watch ends, which is longer than the lease.
+    """
+    if board.checking_platform:
+        return
+    board.checking_platform = True
+    lease, sent_at = my_lease(board), time.monotonic()
+    count(board, "platform_calls", "zone-lease")
+    try:
+        item = await board.platform.get_object("zone-lease", lease.zone)
+    except NotFound:
+        zone_lease.record_platform(lease, True)
+    except EgretliftError:
+        zone_lease.record_platform(lease, False)
+    else:
+        zone_lease.record_platform(lease, True)
+        adopt_lease(board, item, time.monotonic(), sent_at)
+    finally:
+        board.checking_platform = False
+
+
 async def answer_question(board, question):
     """Answer the holder's question whether the platform is out for all."""
+    if question.zone == board.settings.zone and my_lease(board).reachable:
+        # The next question, a tenth of a lease later, finds the result.
+        start_task(board, check_platform)
     confirmed = question.zone == board.settings.zone and zone_lease.confirm_lease(
         my_lease(board),
         board.settings,
@@ -177,37 +201,6 @@
             await write_lease(board, *write, now)
 
 
-async def check_renewals(board):
-    """Ask the platform while this standby sees no renewal of the zone lease.
-
-    A standby confirms an outage to the holder only if it has met it itself. Its
-    pending watch does not show an outage in which the platform does not answer.
-    """
-    settings, lease = board.settings, my_lease(board)
-    me = (settings.host, board.incarnation)
-    late_s = LATE_RENEWALS * settings.zone_lease_renewal_s
-    while True:
-        await anyio.sleep(settings.zone_lease_s / 10)
-        late = time.monotonic() - lease.seen_at > late_s
-        if late and me in lease.lease.standbys and not lease.held_epoch:
-            await read_lease(board)
-
-
-async def read_lease(board):
-    """Read the zone lease and record whether the platform answered."""
-    lease, sent_at = my_lease(board), time.monotonic()
-    count(board, "platform_calls", "zone-lease")
-    try:
-        item = await board.platform.get_object("zone-lease", lease.zone)
-    except NotFound:
-        zone_lease.record_platform(lease, True)
-    except EgretliftError:
-        zone_lease.record_platform(lease, False)
-    else:
-        zone_lease.record_platform(lease, True)
-        adopt_lease(board, item, time.monotonic(), sent_at)
-
-
 async def confirm_zone_lease(board):
     """Ask the standbys to confirm while the platform does not answer the holder."""
     settings, lease = board.settings, my_lease(board)
