Refuse overdue critical calls early and try a hopeless call elsewhere

Cause: critical calls queued until their deadline and then started with too little time; and a refusal as hopeless on a slow host was not tried on another one. Change: a critical call that waited for half its time is refused while newer ones wait, so that no browsing takes its slot; 'deadline' refusals go to another host. integration/test_shedding.py measures the slot time spent on whole answers.

--- a/egretlift/admission/queue.py
+++ b/egretlift/admission/queue.py
@@ -25,6 +25,9 @@
 FRESH_SERVICE_TIMES = 2
 FRESH_MINIMUM_S = 0.1
 FRESH_MAXIMUM_S = 1.0
+# Part of its time that a CRITICAL call may wait. The rest is enough for another
+# host; queued until its deadline it would fail wherever it is sent.
+CRITICAL_WAIT = 0.5
 # Time for which a refusal counts in the shed level.
 SHED_MEMORY_S = 1.0
 ORGANISATIONS_MAXIMUM = 1024
@@ -315,6 +318,18 @@
             decisions.append(refuse_call(state, now, waiting, OVERLOAD))
 
 
+def refuse_overdue(state, now, decisions):
+    """Refuse CRITICAL calls that waited for a large part of their time.
+
+    The newest one stays, so that the next slot goes to it and not to a call of a
+    lower priority.
+    """
+    for waiting in list(state.queues[Priority.CRITICAL].calls)[:-1]:
+        waited_s = now - waiting.queued_at
+        if waited_s > CRITICAL_WAIT * (waiting.deadline - waiting.queued_at):
+            decisions.append(refuse_call(state, now, waiting, DEADLINE))
+
+
 def start_waiting(state, settings, now, decisions):
     """Start waiting calls while the limit allows it."""
     while True:
@@ -470,6 +485,8 @@
     state.now = now
     decisions = []
     fixed = settings.admission_policy == "fixed"
+    if not fixed and state.queued:
+        refuse_overdue(state, now, decisions)
     for queue in state.queues if state.queued else ():
         for waiting in list(queue.calls):
             late = waiting.deadline <= now
--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -40,6 +40,7 @@
         "overload",
         "no-upstream",
         "no-connection",
+        "deadline",
         "draining",
         "stopping",
         "upstream-refused",
--- /dev/null
+++ b/integration/test_recovery.py
@@ -0,0 +1,151 @@
+"""Recovery of a chain of two services after the deeper one was slow.
+
+Run longer with ``python -m integration.test_recovery --seconds 6``.
+"""
+
+import argparse
+import functools
+import sys
+import unittest
+
+from integration.loads import run_loads
+from integration.meshes import make_load, prepare_mesh, run_mesh
+from standins.mesh import make_hosts, set_behaviour
+
+ZONES = {"a": 1, "b": 1, "c": 1}
+SLOTS = 15
+SERVICE_S = 0.3
+CAPACITY = len(ZONES) * SLOTS / SERVICE_S
+LOAD = 0.7
+SLOW_FACTOR = 10.0
+BEFORE_S = 4.0
+# From the targets: the time to recover, and the goodput of a recovered service.
+RECOVERY_S = 2.0
+GOODPUT = 0.95
+AFTER_S = RECOVERY_S + 3.0
+
+
+def make_plan(policy):
+    """Return the plan of a mesh in which a quick service calls a deeper one."""
+    call = {"service": "deep", "path": "/calendar/inner"}
+    book = {"service": "deep", "method": "POST", "path": "/bookings/inner"}
+    front = [
+        {
+            "method": "POST",
+            "prefix": "/bookings",
+            "profile": "booking",
+            "calls": [{**book, "identifier": True}],
+        },
+        {"method": "*", "prefix": "/", "profile": "browsing", "calls": [call]},
+    ]
+    deep = [
+        {"method": "POST", "prefix": "/bookings", "profile": "booking"},
+        {"method": "*", "prefix": "/", "profile": "browsing"},
+    ]
+    hosts = make_hosts(
+        "front", ZONES, routes=front, slots=60, behaviour={"service_s": 0.01}
+    )
+    hosts += make_hosts(
+        "deep", ZONES, routes=deep, slots=SLOTS, behaviour={"service_s": SERVICE_S}
+    )
+    settings = {"gossip_period_s": 0.3, "admission_policy": policy}
+    return {"hosts": hosts, "settings": settings}
+
+
+def set_factor(mesh, factor):
+    """Change the speed of the deeper service."""
+    for zone in ZONES:
+        set_behaviour(mesh, f"deep-{zone}-1", service_factor=factor)
+
+
+def run_trigger(policy, slow_s, seed=1):
+    """Slow the deeper service for a time; return (attempts, start, lag)."""
+    read = {"name": "read", "path": "/calendar/{id}", "timeout_s": 2.0, "share": 0.7}
+    book = {
+        "name": "book",
+        "method": "POST",
+        "path": "/bookings/{id}",
+        "priority": "critical",
+        "identifier": "issued",
+        "timeout_s": 3.0,
+        "share": 0.3,
+    }
+    with run_mesh(make_plan(policy)) as mesh:
+        prepare_mesh(mesh, {"studio": (20000, 20000)})
+        load = make_load(
+            mesh,
+            {"studio": 1.0},
+            [read, book],
+            service="front",
+            rate=CAPACITY * LOAD,
+            phases=[{"duration_s": BEFORE_S + slow_s + AFTER_S, "multiplier": 1.0}],
+            # Hard retries: up to eight more sends, the first ones at once.
+            resends={"count": 8, "backoff_s": 0.02, "jitter": 0.5},
+            grace_s=10.0,
+            seed=seed,
+        )
+        schedule = [
+            (BEFORE_S, functools.partial(set_factor, mesh, SLOW_FACTOR)),
+            (BEFORE_S + slow_s, functools.partial(set_factor, mesh, 1.0)),
+        ]
+        attempts, _, started, lag_s = run_loads(mesh, load, 3, schedule)
+    return attempts, started, lag_s
+
+
+def served_share(attempts, began, ended):
+    """Return the part of the requests due in a window that were served in it.
+
+    A request counts as served if one of its sends was whole within 2 s of its
+    time, which a recovered service manages for nearly all.
+    """
+    due, served = set(), set()
+    for attempt in attempts:
+        if began <= attempt["scheduled"] < ended:
+            due.add(attempt["request"])
+            if attempt["whole"] and attempt["end"] < attempt["scheduled"] + RECOVERY_S:
+                served.add(attempt["request"])
+    return len(served) / max(1, len(due))
+
+
+def list_shares(attempts, started, slow_s):
+    """Return the share served in each second of a run."""
+    seconds = range(int(BEFORE_S + slow_s + AFTER_S))
+    return [
+        round(served_share(attempts, started + second, started + second + 1), 2)
+        for second in seconds
+    ]
+
+
+class TestRecovery(unittest.TestCase):
+    """Guards against an overload that outlives its trigger through retries."""
+
+    def test_recovery_from_a_slow_service(self):
+        slow_s = 3.0
+        attempts, started, _ = run_trigger("adaptive", slow_s)
+        shares = list_shares(attempts, started, slow_s)
+        print(f"served by second {shares}", flush=True)
+        recovered = started + BEFORE_S + slow_s + RECOVERY_S
+        share = served_share(attempts, recovered, recovered + 2.0)
+        self.assertGreaterEqual(share, GOODPUT, shares)
+
+
+def main():
+    """Run the trigger and print the served share by second."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--policy", default="adaptive", help="admission policy")
+    parser.add_argument("--seconds", type=float, default=6.0, help="of slowness")
+    parser.add_argument("--seed", type=int, default=1)
+    given = parser.parse_args()
+    attempts, started, lag_s = run_trigger(given.policy, given.seconds, given.seed)
+    recovered = started + BEFORE_S + given.seconds + RECOVERY_S
+    share = served_share(attempts, recovered, recovered + 2.0)
+    print(
+        f"policy {given.policy}, slow {given.seconds:g} s, lag {lag_s:.2f} s,"
+        f" {len(attempts)} sends, served after recovery {share:.3f},"
+        f" by second {list_shares(attempts, started, given.seconds)}"
+    )
+    return share < GOODPUT
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/integration/test_shedding.py
@@ -0,0 +1,254 @@
+"""Overload of a service on three hosts in three zones, and recovery from it.
+
+Goodput is the slot time of executions whose answer reached the caller whole, as a
+part of the slot time that the upstreams have; 1 is capacity, whatever the mix and
+the speed of the machine. Compare policies and run longer with
+``python -m integration.test_shedding --policy fixed --seconds 20``.
+"""
+
+import argparse
+import bisect
+import functools
+import sys
+import unittest
+from collections import Counter, defaultdict
+
+from integration.loads import run_loads
+from integration.meshes import ROUTES, make_load, prepare_mesh, run_mesh
+from standins.mesh import make_hosts, set_behaviour
+
+ZONES = {"a": 1, "b": 1, "c": 1}
+SLOTS = 15
+SERVICE_S = 0.3
+UPLOAD_S = 0.6
+# Calls of SERVICE_S a second that all hosts together can run.
+CAPACITY = len(ZONES) * SLOTS / SERVICE_S
+# Parts of capacity asked for by bookings and uploads at every load.
+BOOKINGS = 0.3
+UPLOADS = 0.2
+# Time for the limit to settle after a change, from the recovery target.
+SETTLE_S = 2.0
+GENERATORS = 4
+# Executions are recorded at the upstream later than the daemon decides.
+RECORD_JITTER_S = 0.05
+# What follows the refusal of a booking for this long is held against it.
+AFTERWARDS_S = 0.1
+LOAD_REASONS = ("overload", "throttled", "deadline", "upstream-refused")
+GOODPUT = {2: 0.95, 5: 0.90, 10: 0.90}
+SLOW_FACTOR = 4.0
+
+
+def make_routes():
+    """Return routes whose shares are parts of capacity for a multiplier of 1."""
+    read = {"name": "read", "path": "/calendar/{id}", "timeout_s": 2.0}
+    book = {
+        "name": "book",
+        "method": "POST",
+        "path": "/bookings/{id}",
+        "priority": "critical",
+        "identifier": "issued",
+        "timeout_s": 3.0,
+        "share": BOOKINGS,
+    }
+    upload = {
+        "name": "upload",
+        "method": "POST",
+        "path": "/uploads/{id}",
+        "priority": "background",
+        "body_bytes": 100_000,
+        "timeout_s": 8.0,
+        "share": UPLOADS * SERVICE_S / UPLOAD_S,
+    }
+    return [{**read, "share": 1 - BOOKINGS - UPLOADS}, book, upload]
+
+
+def make_phase(duration_s, load, bookings=BOOKINGS):
+    """Return a phase in which all calls together ask for ``load`` of capacity."""
+    routes = make_routes()
+    reads = load - bookings - UPLOADS
+    multipliers = {"read": reads / routes[0]["share"], "book": bookings / BOOKINGS}
+    return {"duration_s": duration_s, "routes": multipliers}
+
+
+def run_phases(policy, phases, schedule=lambda mesh, hosts: (), seed=1):
+    """Run phases of load on a mesh that has just started.
+
+    Returns (attempts, executions, times at which the phases begin and end, lag).
+    """
+    routes = [dict(route) for route in ROUTES]
+    for route in routes:
+        if route["prefix"] == "/uploads":
+            route["service_s"] = UPLOAD_S
+    hosts = make_hosts(
+        "checkout",
+        ZONES,
+        routes=routes,
+        slots=SLOTS,
+        behaviour={"service_s": SERVICE_S},
+    )
+    settings = {"gossip_period_s": 0.3, "admission_policy": policy}
+    with run_mesh({"hosts": hosts, "settings": settings}) as mesh:
+        prepare_mesh(mesh, {"studio": (20000, 20000), "dealer": (20000, 20000)})
+        rows = make_routes()
+        load = make_load(
+            mesh,
+            {"studio": 3.0, "dealer": 1.0},
+            rows,
+            rate=CAPACITY * sum(row["share"] for row in rows),
+            phases=phases,
+            grace_s=10.0,
+            seed=seed,
+        )
+        names = list(mesh.hosts)
+        found = run_loads(mesh, load, GENERATORS, schedule(mesh, names))
+    attempts, executions, started, lag_s = found
+    times = [started]
+    for phase in phases:
+        times.append(times[-1] + phase["duration_s"])
+    return attempts, executions, times, lag_s
+
+
+def measure_goodput(attempts, executions, began, ended, slots=SLOTS):
+    """Return the part of the slot time that went into whole answers."""
+    whole = {attempt["request_id"] for attempt in attempts if attempt["whole"]}
+    useful = 0.0
+    for items in executions.values():
+        for item in items:
+            if item["request_id"] in whole and item["end"] is not None:
+                useful += max(0.0, min(item["end"], ended) - max(item["start"], began))
+    return useful / (len(executions) * slots * (ended - began))
+
+
+def select_attempts(attempts, route, began, ended):
+    """Return the attempts on a route that started in a window."""
+    return [
+        attempt
+        for attempt in attempts
+        if attempt["route"] == route and began <= attempt["start"] < ended
+    ]
+
+
+def is_refused(attempt):
+    """Return whether an attempt was refused for load."""
+    return attempt["reason"] in LOAD_REASONS
+
+
+def find_overtaken(attempts, executions, began, ended):
+    """Return bookings refused for load although browsing was started afterwards."""
+    starts = sorted(
+        item["start"]
+        for items in executions.values()
+        for item in items
+        if item["path"].startswith("/calendar")
+    )
+    found = []
+    for attempt in select_attempts(attempts, "book", began, ended):
+        if not is_refused(attempt):
+            continue
+        at = bisect.bisect(starts, attempt["start"] + RECORD_JITTER_S)
+        if at < len(starts) and starts[at] < attempt["end"] + AFTERWARDS_S:
+            found.append(attempt)
+    return found
+
+
+def upload_gaps(attempts, began, ended):
+    """Return the longest time without a whole upload, in seconds."""
+    ends = [a["end"] for a in attempts if a["route"] == "upload" and a["whole"]]
+    times = [began, *sorted(end for end in ends if began < end < ended), ended]
+    return max(
+        later - earlier for earlier, later in zip(times, times[1:], strict=False)
+    )
+
+
+def describe(attempts, executions, began, ended):
+    """Return one line of figures of a window."""
+    parts = [f"goodput {measure_goodput(attempts, executions, began, ended):.3f}"]
+    for route in ("book", "read", "upload"):
+        found = select_attempts(attempts, route, began, ended)
+        whole = sum(attempt["whole"] for attempt in found)
+        refused = Counter(a["reason"] or a["error"] for a in found if not a["whole"])
+        parts.append(f"{route} {whole}/{len(found)} {dict(refused)}")
+    parts.append(f"upload gap {upload_gaps(attempts, began, ended):.1f} s")
+    overtaken = find_overtaken(attempts, executions, began, ended)
+    return ", ".join(parts) + f", overtaken bookings {len(overtaken)}"
+
+
+def slow_host(mesh, hosts, at, length_s, factor):
+    """Return a schedule that makes the first host slow for a time.
+
+    Its service times are then constant: of exponential ones many would be beyond
+    the deadlines, whichever calls are admitted.
+    """
+    change = functools.partial(set_behaviour, mesh, hosts[0])
+    slow = functools.partial(change, service_factor=factor, distribution="fixed")
+    fast = functools.partial(change, service_factor=1.0, distribution="exponential")
+    return [(at, slow), (at + length_s, fast)]
+
+
+def run_overload(policy, seconds, seed=1, factor=SLOW_FACTOR):
+    """Run all loads one after another, from a cold start."""
+    phases = [make_phase(seconds, load) for load in (2, 5, 10)]
+    phases.append(make_phase(seconds + 2, 2))
+    phases.append(make_phase(seconds, 4, bookings=2.0))
+    schedule = functools.partial(
+        slow_host, at=3 * seconds, length_s=seconds + 2, factor=factor
+    )
+    return run_phases(policy, phases, schedule, seed)
+
+
+NAMES = ("2 times", "5 times", "10 times", "slow host", "bookings alone exceed")
+
+
+class TestOverload(unittest.TestCase):
+    """Guards against bookings shed before browsing, and against lost capacity."""
+
+    def test_overload(self):
+        """The upstreams' health endpoints report healthy throughout."""
+        attempts, executions, times, lag_s = run_overload("adaptive", 5.0)
+        windows = dict(zip(NAMES, zip(times, times[1:], strict=False), strict=False))
+        print(f"generator lag {lag_s:.2f} s", flush=True)
+        for name, (began, ended) in windows.items():
+            window = (began + SETTLE_S, ended)
+            print(f"{name}: {describe(attempts, executions, *window)}", flush=True)
+            with self.subTest(name=name, check="goodput"):
+                goal = 0.95 if name == "2 times" else 0.90
+                goodput = measure_goodput(attempts, executions, *window)
+                self.assertGreaterEqual(goodput, goal)
+            with self.subTest(name=name, check="overtaken"):
+                found = find_overtaken(attempts, executions, began, ended)
+                self.assertEqual([], found[:3])
+            if name == NAMES[-1]:
+                continue
+            with self.subTest(name=name, check="bookings"):
+                sent = select_attempts(attempts, "book", began, ended)
+                self.assertEqual([], list(filter(is_refused, sent))[:3])
+            with self.subTest(name=name, check="uploads"):
+                self.assertLess(upload_gaps(attempts, began, ended), 2.0)
+
+
+def main():
+    """Run the loads and print one line for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--policy", default="adaptive", help="admission policy")
+    parser.add_argument("--seconds", type=float, default=15.0, help="of each load")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--factor", type=float, default=10.0, help="of the slow host")
+    given = parser.parse_args()
+    attempts, executions, times, lag_s = run_overload(
+        given.policy, given.seconds, given.seed, given.factor
+    )
+    print(f"policy {given.policy}, generator lag {lag_s:.2f} s")
+    for name, began, ended in zip(NAMES, times, times[1:], strict=False):
+        line = describe(attempts, executions, began + SETTLE_S, ended)
+        print(f"{name}: {line}", flush=True)
+    seconds = defaultdict(list)
+    for second in range(int(times[-1] - times[0])):
+        began = times[0] + second
+        seconds["goodput"].append(
+            round(measure_goodput(attempts, executions, began, began + 1), 2)
+        )
+    print(f"goodput by second: {seconds['goodput']}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/load.py
+++ b/standins/load.py
@@ -35,10 +35,12 @@
 # targets: caller ports as "address:port" by service; "" if a route has no service.
 # organisations: fields of ORGANISATION; routes: fields of ROUTE.
 # resends: largest count, first pause, which doubles, and its random part.
+# start_at: monotonic time of the start, for generators that run together.
 # name: prefix of the request ids; give generators that run together two names.
 PLAN = {
     "name": "r",
     "seed": 0,
+    "start_at": None,
     "rate": 100.0,
     "phases": [{"duration_s": 5.0, "multiplier": 1.0}],
     "targets": {},
@@ -282,7 +284,7 @@
 async def send_all(load):
     """Send the requests at their times and wait for the answers."""
     tasks, failures = set(), []
-    started = time.monotonic()
+    started = load.plan["start_at"] or time.monotonic()
 
     def forget(task):
         tasks.discard(task)
