--- a/egretlift/admission/limit.py
+++ b/egretlift/admission/limit.py
@@ -51,6 +51,10 @@
 # A round is also closed when half of its calls are finished and this many times
 # their mean duration has passed; a call that hangs would freeze the limit.
 ROUND_STRAGGLERS = 4
+# A round with at least this slowdown is outdated if this many calls that started
+# after its own have already ended without slowdown: the upstream has recovered.
+OUTDATED_SLOWDOWN = 3.0
+OUTDATED_CALLS = 8
 # A dip costs at most 40% of capacity, hence 2% when it takes 1/20 of the time.
 DIP_SPACING = 20
 # The same while the limit is at its minimum, where only a dip can show that the
@@ -130,6 +134,8 @@
         "finished_weight",
         "held",
         "late_kinds",
+        "later",
+        "later_slowdown",
         "opened_at",
         "pending",
         "quota",
@@ -145,6 +151,8 @@
         self.quota = quota
         self.dip = dip
         self.late_kinds = ()
+        self.later = 0
+        self.later_slowdown = 0.0
         self.held = False
         self.tagged = 0
         self.concurrency = 0
@@ -291,12 +299,32 @@
         finish_call(observer, waiting, duration_s, whole)
     elif observer is kind:
         learn_baseline(kind, duration_s, whole)
-    elif observer is not None and whole and waiting.kind in observer.late_kinds:
+    elif observer is None:
+        note_later(state.round, kind, waiting, duration_s, whole)
+    elif whole and waiting.kind in observer.late_kinds:
         kind.baseline += (duration_s - kind.baseline) / LATE_SMOOTHING
     if is_complete(state.round, now):
         close_round(state, settings, now)
 
 
+def note_later(current, kind, waiting, duration_s, whole):
+    """Count a call that started after all calls of a round did."""
+    full = current.tagged >= current.quota
+    if whole and full and kind.baseline and waiting.started_at >= current.filled_at:
+        current.later += 1
+        current.later_slowdown += duration_s / kind.baseline
+
+
+def is_outdated(current, slowdown):
+    """Return whether a slow round was followed by calls that are not slow.
+
+    Those that ended first are the shortest, so only a large difference counts.
+    """
+    if slowdown < OUTDATED_SLOWDOWN or current.later < OUTDATED_CALLS:
+        return False
+    return current.later_slowdown < SLOWDOWN_LIMIT * current.later
+
+
 def is_complete(current, now):
     """Return whether enough of a round's calls are finished to judge it."""
     if current.tagged < current.quota:
@@ -429,6 +457,9 @@
     for waiting in current.pending:
         add_sample(current, waiting, max(now - waiting.started_at, waiting.baseline))
     slowdown, error = measure_round(state, current)
+    if is_outdated(current, slowdown):
+        open_round(state, now, False)
+        return
     concurrency = current.concurrency / current.tagged
     compared, steady = compare_round(state, slowdown, concurrency)
     lowered = slowdown < SLOWDOWN_FAST and slowdown + 2 * error < 1
--- a/egretlift/daemon/once.py
+++ b/egretlift/daemon/once.py
@@ -222,6 +222,7 @@
     """Return a copy of an answer that may be closed on its own."""
     copy = Answer(kept.outcome, kept.status, kept.headers, kept.body, kept.reason)
     copy.deeper = kept.deeper
+    copy.refused_deeper = kept.refused_deeper
     return copy
 
 
