Name the occupied port when the daemon cannot start

Cause: an error in a nested task group was printed as the group's name. Change: errors of nested groups are listed.

--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -197,6 +197,15 @@
             await board.platform.close()
 
 
+def list_errors(group):
+    """Return the errors in a group and the groups within it."""
+    errors = []
+    for error in group.exceptions:
+        nested = isinstance(error, BaseExceptionGroup)
+        errors.extend(list_errors(error) if nested else [error])
+    return errors
+
+
 def main():
     """Check the settings and run the daemon; exit status 2 for bad settings."""
     try:
@@ -208,11 +217,14 @@
     try:
         anyio.run(run_daemon, settings)
     except* OSError as group:
-        errors = list(map(str, group.exceptions))
-        print(f"egretliftd: {errors}; free the port or choose another", file=sys.stderr)
+        for error in list_errors(group):
+            print(
+                f"egretliftd: {error}; free the port or choose another",
+                file=sys.stderr,
+            )
         raise SystemExit(1) from None
     except* EgretliftError as group:
-        for error in group.exceptions:
+        for error in list_errors(group):
             print(f"egretliftd: {error}", file=sys.stderr)
         raise SystemExit(1) from None
 
