--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -26,9 +26,19 @@
         ``absent``, ``serving``, ``draining`` or ``left``.
     expires_at : float
         End of the announcement's lease, monotonic seconds.
+    closed_until : float
+        Until when announcements are ignored after a drain or leave.
     """
 
-    __slots__ = ("address", "expires_at", "port", "routes", "service", "status")
+    __slots__ = (
+        "address",
+        "closed_until",
+        "expires_at",
+        "port",
+        "routes",
+        "service",
+        "status",
+    )
 
     def __init__(self):
         self.service = ""
@@ -37,6 +47,7 @@
         self.routes = []
         self.status = "absent"
         self.expires_at = 0.0
+        self.closed_until = 0.0
 
 
 class Counters:
@@ -91,6 +102,7 @@
         "catalog",
         "catalog_complete",
         "channels",
+        "checking_platform",
         "counters",
         "fresh_objects",
         "holders",
@@ -182,6 +194,7 @@
         self.platform = None
         self.platform_reached_at = None
         self.platform_failed_at = None
+        self.checking_platform = False
         self.open_requests = 0
         self.reported = [0, 0]
         self.stopping = False
