--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -43,6 +43,7 @@
     make_gossip,
     take_exchange,
 )
+from egretlift.daemon.operators import describe_state
 from egretlift.idempotency import Ledger, open_record
 from egretlift.membership import (
     Member,
@@ -702,7 +703,21 @@
     report("bytes of an exchange by records that differ", points, "B")
 
 
+def measure_state():
+    """Print the size and CPU time of the state page by members."""
+    sizes, times = [], []
+    for members in (1000, 4000, 16000):
+        board = make_board(members, 1000)
+        started = time.process_time()
+        text = json.dumps(describe_state(board))
+        times.append((members, time.process_time() - started))
+        sizes.append((members, len(text)))
+    report("bytes of the state page by members", sizes, "B")
+    report("CPU of the state page by members", times, "s")
+
+
 MEASUREMENTS = {
+    "state": measure_state,
     "join": measure_join,
     "repair": measure_repair,
     "imports": measure_imports,
