--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -314,13 +314,22 @@
 async def handle_announcement(board, request):
     """Take an upstream's announcement."""
     status, errors = 400, []
+    body = RequestBody(request, board.settings.body_gap_s)
     try:
-        body = json.loads(await request.read())
-        if not accept_announcement(board, body):
+        await hold_body(body, ANNOUNCEMENT_BYTES)
+        if not accept_announcement(board, json.loads(body.data)):
             status = 409
             remedy = "announce again in a second"
             errors = [{"error": "the upstream has just left", "remedy": remedy}]
-    except ValueError as error:
+    except BodyTooLarge:
+        status = 413
+        remedy = f"send at most {ANNOUNCEMENT_BYTES} bytes"
+        errors = [{"error": "the body is too large", "remedy": remedy}]
+    except (BodyTooSlow, BodyCutShort):
+        status = 408
+        remedy = "send the whole body without long pauses"
+        errors = [{"error": "the body did not arrive", "remedy": remedy}]
+    except (ValueError, RecursionError) as error:
         errors = [{"error": str(error), "remedy": "send a JSON object"}]
     except ExceptionGroup as group:
         errors = [
