--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -39,16 +39,21 @@
 )
 from egretlift.daemon.gossip import (
     MEMBERS_FOR_JOINING,
+    MEMBERS_FOR_REPAIR,
     answer_gossip,
     make_gossip,
+    pick_partner,
     take_exchange,
 )
 from egretlift.daemon.operators import describe_state
+from egretlift.daemon.zone import list_standbys
 from egretlift.idempotency import Ledger, open_record
 from egretlift.membership import (
     Member,
     MemberTable,
     digest_table,
+    expire_suspects,
+    forget_members,
     members_to_send,
     merge_members,
 )
@@ -716,7 +721,33 @@
     report("CPU of the state page by members", times, "s")
 
 
+def measure_ticks():
+    """Print the CPU time of what runs periodically, by members."""
+    settings = Settings()
+    runs = {
+        "list_standbys, 10 a second": list_standbys,
+        "pick_partner, 1 a second": pick_partner,
+        "expire_suspects and forget_members, 2 a second": lambda board: (
+            expire_suspects(board.members, settings, 1.0),
+            forget_members(board.members, settings, 1.0),
+        ),
+        "members_to_send with repair, 1 a second": lambda board: members_to_send(
+            board.members, board.random, 32, "other", MEMBERS_FOR_REPAIR
+        ),
+    }
+    boards = {members: make_board(members) for members in (1000, 4000, 16000)}
+    for name, run in runs.items():
+        points = []
+        for members, board in boards.items():
+            started = time.process_time()
+            for _ in range(50):
+                run(board)
+            points.append((members, (time.process_time() - started) / 50))
+        report(f"CPU of {name}, by members", points, "s")
+
+
 MEASUREMENTS = {
+    "ticks": measure_ticks,
     "state": measure_state,
     "join": measure_join,
     "repair": measure_repair,
