--- a/egretlift/admission/__init__.py
+++ b/egretlift/admission/__init__.py
@@ -15,6 +15,7 @@
 )
 from egretlift.admission.throttle import (
     ThrottleState,
+    record_abandoned,
     record_accepted,
     record_refused,
     record_sent,
@@ -32,6 +33,7 @@
     "expire_waiting",
     "format_load",
     "parse_load",
+    "record_abandoned",
     "record_accepted",
     "record_refused",
     "record_sent",
--- a/egretlift/admission/throttle.py
+++ b/egretlift/admission/throttle.py
@@ -103,6 +103,7 @@
 
     See Also
     --------
+    record_abandoned : Its caller left.
     record_accepted : The call was not refused for load.
     record_refused : It was refused for load, or got no answer.
     """
@@ -125,6 +126,16 @@
     record_answer(counters, priority)
 
 
+def record_abandoned(state, now, target, priority):
+    """Note that a call's caller left, which says nothing about the target.
+
+    Counted as a refusal, callers who break off uploads could have the uploads of
+    others refused.
+    """
+    counters = find_counters(state, now, target)
+    counters.outstanding[priority] = max(0, counters.outstanding[priority] - 1)
+
+
 def record_answer(counters, priority):
     """Count any answer."""
     counters.outstanding[priority] = max(0, counters.outstanding[priority] - 1)
--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -12,6 +12,7 @@
 
 from egretlift.admission import (
     parse_load,
+    record_abandoned,
     record_accepted,
     record_refused,
     record_sent,
@@ -339,12 +340,12 @@
     if early is not None:
         return early
     record_sent(board.throttle, time.monotonic(), target, call.priority)
-    accepted = False
+    record = record_abandoned
     try:
         answer = await run(board, call)
         refused = answer.reason in LOAD_REASONS or answer.refused_deeper
         accepted = not (refused or call.outgoing_refused)
+        record = record_accepted if accepted else record_refused
         return answer
     finally:
-        record = record_accepted if accepted else record_refused
         record(board.throttle, time.monotonic(), target, call.priority)
