--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -20,6 +20,7 @@
 from egretlift.daemon.calls import (
     LOAD_REASONS,
     Call,
+    failed_deeper,
     run_call,
     run_throttled,
 )
@@ -47,7 +48,9 @@
     RepeatRecords,
     charge_repeat,
     close_allowance,
+    find_budget,
     fingerprint_request,
+    is_repeat,
     lend,
     open_allowance,
     record_end,
@@ -61,6 +64,7 @@
     RequestBody,
     answer_refusal,
     close_answer,
+    ends_connection,
     hold_body,
     label_answer,
     select_request_headers,
@@ -69,6 +73,8 @@
 # Deeper chains than this are taken for a loop in the call graph.
 DEEPEST_CALL = 32
 OUTGOING_PREFIX = "/call/"
+# 64 routes with the longest prefixes fit.
+ANNOUNCEMENT_BYTES = 262144
 EVENTS_PER_SECOND = 20
 
 
@@ -108,7 +114,9 @@
     text = headers.get(TIMEOUT_HEADER)
     if text is None:
         return profile.timeout_s
-    if not text.isdigit() or int(text) == 0 or len(text) > 9:
+    # isdigit() is also true of digits that int() does not read, and int() raises
+    # for numbers of more than 4,300 digits.
+    if not text.isdecimal() or len(text) > 9 or int(text) == 0:
         raise CallRefused(
             "timeout-invalid", 400, f"give {TIMEOUT_HEADER} as whole milliseconds"
         )
@@ -305,10 +313,20 @@
 
 async def handle_announcement(board, request):
     """Take an upstream's announcement."""
+    status = 400
+    body = RequestBody(request, board.settings.body_gap_s)
     try:
-        body = json.loads(await request.read())
-        accept_announcement(board, body)
-    except ValueError as error:
+        await hold_body(body, ANNOUNCEMENT_BYTES)
+        accept_announcement(board, json.loads(body.data))
+    except BodyTooLarge:
+        status = 413
+        remedy = f"send at most {ANNOUNCEMENT_BYTES} bytes"
+        errors = [{"error": "the body is too large", "remedy": remedy}]
+    except (BodyTooSlow, BodyCutShort):
+        status = 408
+        remedy = "send the whole body without long pauses"
+        errors = [{"error": "the body did not arrive", "remedy": remedy}]
+    except (ValueError, RecursionError) as error:
         errors = [{"error": str(error), "remedy": "send a JSON object"}]
     except ExceptionGroup as group:
         errors = [
@@ -317,7 +335,7 @@
         ]
     else:
         return web.json_response({"lease_s": board.settings.announcement_lease_s})
-    return web.json_response({"errors": errors}, status=400)
+    return web.json_response({"errors": errors}, status=status)
 
 
 def split_outgoing(request):
@@ -376,6 +394,8 @@
 
 async def run_outgoing(board, call, parent):
     """Run an outgoing call on the allowance of its parent call."""
+    # Throttled only at the entry: throttles on all levels multiply, and after a slow
+    # period almost no call would reach the deepest level to show that it is over.
     if parent is None:
         return await run_throttled(board, call, call.service, run_call)
     fingerprint = fingerprint_request(
@@ -386,8 +406,14 @@
     )
     if parent.repeats is None:
         parent.repeats = RepeatRecords()
-    if board.settings.retry_policy == "budget" and not charge_repeat(
-        parent.repeats, fingerprint, parent.allowance
+    call.repeated = is_repeat(parent.repeats, fingerprint)
+    if not charge_repeat(
+        parent.repeats,
+        fingerprint,
+        parent.allowance,
+        find_budget(board.budgets, call.service),
+        board.settings,
+        time.monotonic(),
     ):
         count(board, "repeats_refused", call.service)
         raise CallRefused(
@@ -395,16 +421,16 @@
         )
     lent = lend(parent.allowance)
     call.allowance = open_allowance(lent)
-    outcome = Outcome.UNKNOWN
+    outcome, deeper = Outcome.UNKNOWN, False
     try:
-        answer = await run_throttled(board, call, call.service, run_call)
-        outcome = answer.outcome
+        answer = await run_call(board, call)
+        outcome, deeper = answer.outcome, failed_deeper(answer)
         refused = answer.reason in LOAD_REASONS or answer.refused_deeper
         parent.outgoing_refused |= refused
         return answer
     finally:
         settle(parent.allowance, lent, close_allowance(call.allowance))
-        record_end(parent.repeats, fingerprint, outcome)
+        record_end(parent.repeats, fingerprint, outcome, deeper)
         parent.outgoing_failed |= outcome is not Outcome.WHOLE
 
 
@@ -483,12 +509,16 @@
     if answer.body is not None:
         response = web.Response(status=answer.status, body=answer.body)
         fill_headers(response, headers, skip="content-length")
+        if ends_connection(request):
+            response.force_close()
         close_answer(answer, whole=True)
         await response.prepare(request)
         await response.write_eof()
         return response
     response = web.StreamResponse(status=answer.status)
     fill_headers(response, headers)
+    if ends_connection(request):
+        response.force_close()
     whole = False
     try:
         await response.prepare(request)
