--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -37,12 +37,23 @@
     merge_objects,
     objects_after,
 )
-from egretlift.daemon.gossip import answer_gossip, make_gossip, take_exchange
+from egretlift.daemon.gossip import (
+    MEMBERS_FOR_JOINING,
+    MEMBERS_FOR_REPAIR,
+    answer_gossip,
+    make_gossip,
+    pick_partner,
+    take_exchange,
+)
+from egretlift.daemon.operators import describe_state
+from egretlift.daemon.zone import list_standbys
 from egretlift.idempotency import Ledger, open_record
 from egretlift.membership import (
     Member,
     MemberTable,
     digest_table,
+    expire_suspects,
+    forget_members,
     members_to_send,
     merge_members,
 )
@@ -673,13 +684,14 @@
     """Print the exchanges until a new daemon knows the members, by their number."""
     for part in (0.5, 0.99):
         points = []
-        for size in (250, 1000, 4000):
+        for size in (1000, 4000, 16000):
             peer, joining = fill_members(size), MemberTable("new")
             draw, exchanges = random.Random(size), 0
             while len(joining.members) < part * size:
                 exchanges += 1
                 digest = digest_table(joining)
-                merge_members(joining, 0.0, members_to_send(peer, draw, 32, digest))
+                news = members_to_send(peer, draw, 32, digest, MEMBERS_FOR_JOINING)
+                merge_members(joining, 0.0, news)
                 peer.unsent.clear()
             points.append((size, exchanges))
         report(f"exchanges until {part:.0%} of the members are known", points, "")
@@ -696,7 +708,47 @@
     report("bytes of an exchange by records that differ", points, "B")
 
 
+def measure_state():
+    """Print the size and CPU time of the state page by members."""
+    sizes, times = [], []
+    for members in (1000, 4000, 16000):
+        board = make_board(members, 1000)
+        started = time.process_time()
+        text = json.dumps(describe_state(board))
+        times.append((members, time.process_time() - started))
+        sizes.append((members, len(text)))
+    report("bytes of the state page by members", sizes, "B")
+    report("CPU of the state page by members", times, "s")
+
+
+def measure_ticks():
+    """Print the CPU time of what runs periodically, by members."""
+    settings = Settings()
+    runs = {
+        "list_standbys, 10 a second": list_standbys,
+        "pick_partner, 1 a second": pick_partner,
+        "expire_suspects and forget_members, 2 a second": lambda board: (
+            expire_suspects(board.members, settings, 1.0),
+            forget_members(board.members, settings, 1.0),
+        ),
+        "members_to_send with repair, 1 a second": lambda board: members_to_send(
+            board.members, board.random, 32, "other", MEMBERS_FOR_REPAIR
+        ),
+    }
+    boards = {members: make_board(members) for members in (1000, 4000, 16000)}
+    for name, run in runs.items():
+        points = []
+        for members, board in boards.items():
+            started = time.process_time()
+            for _ in range(50):
+                run(board)
+            points.append((members, (time.process_time() - started) / 50))
+        report(f"CPU of {name}, by members", points, "s")
+
+
 MEASUREMENTS = {
+    "ticks": measure_ticks,
+    "state": measure_state,
     "join": measure_join,
     "repair": measure_repair,
     "imports": measure_imports,
