Never run a claimed identifier again after its record is dropped

Three related faults: a call refused as not run was answered unknown when its resend entered at the home; a full ledger created claims that could never run; an identifier used for another service was run or answered by the first service. Change: a claim gets a record only if it was just created or released after a provable not run; a full ledger reads the claim only; a home of another service means identifier-reused.

--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -74,6 +74,8 @@
         Epoch and host of the holder of each zone's lease.
     allocators : dict of str to Allocator
         Allocators by organisation while this host holds its zone's lease.
+    released_claims : dict of (organisation, identifier) to float
+        Claims of this host that a call may open a record for, until when.
     reported : list of int
         Second of the monotonic clock and the failures reported in it.
     stopping : bool
@@ -109,6 +111,7 @@
         "quotas",
         "random",
         "sessions",
+        "released_claims",
         "reported",
         "seeds_written",
         "settings",
@@ -152,6 +155,7 @@
         self.ledger = Ledger()
         self.counters = Counters()
         self.upstream = Upstream()
+        self.released_claims = {}
         self.calls = {}
         self.slots = {}
         self.quotas = {}
--- a/egretlift/daemon/once.py
+++ b/egretlift/daemon/once.py
@@ -1,13 +1,20 @@
 """At-most-once calls: finding the home of an identifier and running it there."""
 
 import hashlib
+import math
 import time
 
 import anyio
 
 from egretlift.blackboard import count
 from egretlift.daemon.calls import forward_to, remaining, run_call
-from egretlift.errors import ConflictError, PlatformUnavailable, WriteUnsettled
+from egretlift.errors import (
+    ConflictError,
+    EgretliftError,
+    NotFound,
+    PlatformUnavailable,
+    WriteUnsettled,
+)
 from egretlift.events import record_event
 from egretlift.idempotency import (
     ClaimState,
@@ -37,6 +44,9 @@
 
 # Answers of identified calls are held whole, so that a resend can be answered.
 ANSWER_LIMIT_BYTES = 1_000_000
+# Claimed identifiers that were not run and may be run by a resend, about 1 MB. The
+# oldest makes room; its resends are then answered "unknown".
+RELEASED_CLAIMS = 4000
 
 
 def answer_unknown(reason, remedy, status=503):
@@ -95,14 +105,19 @@
     tuple or Answer
         An answer ``UNKNOWN`` if the platform cannot tell.
     """
-    result = await create_claim(board, call)
+    key = (call.organisation, call.identifier)
+    full = len(board.ledger.records) >= board.settings.ledger_records
+    if full and not find_record(board.ledger, *key):
+        result = await read_claim_only(board, call)
+        if result is None:
+            return refuse_record(RecordState.FULL)
+    else:
+        result = await create_claim(board, call)
     decision = decide_claim(result, board.me)
     if decision.state is ClaimState.OWNED:
-        key = (call.organisation, call.identifier)
-        if result.status is CreateStatus.CREATED or find_record(board.ledger, *key):
-            return board.settings.host, board.incarnation
-        # The claim is older than this send and its record is no longer kept.
-        return refuse_record(RecordState.UNKNOWN)
+        if result.status is CreateStatus.CREATED:
+            release_claim(board, key)
+        return board.settings.host, board.incarnation
     if decision.state is ClaimState.ELSEWHERE:
         return decision.host, decision.incarnation
     count(board, "claims_unsettled", decision.reason)
@@ -137,6 +152,42 @@
     return CreateResult(CreateStatus.CREATED)
 
 
+async def read_claim_only(board, call):
+    """Return the existing claim without creating one, None if there is none.
+
+    With a full ledger a created claim would have no record, and no resend could
+    ever run.
+    """
+    count(board, "platform_calls", "claim")
+    name = name_claim(call.organisation, call.identifier)
+    try:
+        with anyio.fail_after(max(remaining(call), 0.001)):
+            item = await board.platform.get_object("claim", name)
+    except NotFound:
+        return None
+    except (EgretliftError, TimeoutError):
+        return CreateResult(CreateStatus.UNAVAILABLE)
+    return CreateResult(CreateStatus.EXISTS, item["spec"])
+
+
+def release_claim(board, key):
+    """Let the next call with a claimed identifier open a record.
+
+    A claim of this host without a record may have been run long ago. Only a claim
+    just created, or one whose call was provably not run, is released.
+    """
+    board.released_claims[key] = time.monotonic() + board.settings.identifier_lifetime_s
+    if len(board.released_claims) > RELEASED_CLAIMS:
+        del board.released_claims[next(iter(board.released_claims))]
+
+
+def may_open_claim(board, key):
+    """Return whether a claimed identifier has a record or may get one now."""
+    if find_record(board.ledger, *key) is not None:
+        return True
+    return time.monotonic() < board.released_claims.pop(key, -math.inf)
+
+
 async def reach_home(board, call, home):
     """Run the call at its home, which may be this daemon."""
     host, incarnation = home
@@ -147,6 +198,9 @@
         return answer_unknown(
             "home-lost", "query the result; the daemon that knew of it is gone"
         )
+    if member.service and member.service != call.service:
+        # The home would run the call on its own service.
+        return refuse_record(RecordState.MISMATCH)
     answer = await forward_to(board, call, member, "home")
     if answer.reason == "no-connection":
         # Not run by this send, but an earlier send may have reached the home.
@@ -164,6 +218,10 @@
         return answer_unknown(
             "home-lost", "query the result; the daemon that knew of it is gone"
         )
+    if issued is None and not may_open_claim(board, key):
+        # A record is dropped after its lifetime, the claim is kept longer.
+        count(board, "resends", "record-gone")
+        return refuse_record(RecordState.UNKNOWN)
     state = open_record(
         board.ledger,
         board.settings,
@@ -240,7 +298,10 @@
         record_event("call-error", call=call.call_id, error=repr(error))
     now = time.monotonic()
     if kept.outcome is Outcome.REFUSED_NOT_RUN:
+        record = find_record(board.ledger, *key)
         waiters = forget_record(board.ledger, *key)
+        if record is not None and record.claimed:
+            release_claim(board, key)
     else:
         waiters = finish_record(
             board.ledger,
