--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -10,6 +10,7 @@
 from egretlift.blackboard import Blackboard
 from egretlift.daemon.allocation import allocate_here, keep_shares
 from egretlift.daemon.announcements import expire_announcement, publish_self
+from egretlift.daemon.claims import remove_claims
 from egretlift.daemon.execution import expire_queue
 from egretlift.daemon.gossip import (
     answer_gossip,
@@ -21,10 +22,14 @@
 )
 from egretlift.daemon.operators import serve_operators
 from egretlift.daemon.ports import handle_caller, handle_peer, handle_upstream
+from egretlift.daemon.tasks import keep_running
 from egretlift.daemon.watch import follow_platform
 from egretlift.daemon.zone import (
     answer_question,
+    confirm_zone_lease,
     keep_zone_lease,
+    keep_zone_shares,
+    publish_seeds,
     release_zone_lease,
 )
 from egretlift.errors import EgretliftError
@@ -136,9 +141,12 @@
     spread_changes,
     follow_platform,
     keep_zone_lease,
+    confirm_zone_lease,
+    keep_zone_shares,
+    publish_seeds,
     keep_shares,
-    serve_operators,
     tidy_ledger,
+    remove_claims,
 )
 
 
@@ -171,8 +179,10 @@
     try:
         async with anyio.create_task_group() as tasks:
             board.tasks = tasks
+            # Not guarded: without its port the daemon could not be observed.
+            tasks.start_soon(serve_operators, board)
             for controller in CONTROLLERS:
-                tasks.start_soon(controller, board)
+                tasks.start_soon(keep_running, board, controller)
             await wait_for_signal(board)
             await drain(board, ports)
             board.stop.set()
@@ -187,6 +197,15 @@
             await board.platform.close()
 
 
+def list_errors(group):
+    """Return the errors in a group and the groups within it."""
+    errors = []
+    for error in group.exceptions:
+        nested = isinstance(error, BaseExceptionGroup)
+        errors.extend(list_errors(error) if nested else [error])
+    return errors
+
+
 def main():
     """Check the settings and run the daemon; exit status 2 for bad settings."""
     try:
@@ -197,13 +216,15 @@
         raise SystemExit(2) from None
     try:
         anyio.run(run_daemon, settings)
-    except OSError as error:
-        print(f"egretliftd: {error}; free the port or choose another", file=sys.stderr)
+    except* OSError as group:
+        for error in list_errors(group):
+            print(
+                f"egretliftd: {error}; free the port or choose another",
+                file=sys.stderr,
+            )
         raise SystemExit(1) from None
-    except ExceptionGroup as group:
-        for error in group.exceptions:
-            if not isinstance(error, EgretliftError):
-                raise
+    except* EgretliftError as group:
+        for error in list_errors(group):
             print(f"egretliftd: {error}", file=sys.stderr)
         raise SystemExit(1) from None
 
--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -29,8 +29,13 @@
     "throttled": ("target", "Calls refused early because work below is refused"),
     "refused_rate": ("organisation", "Calls refused for the organisation's rate"),
     "refused_admission": ("reason", "Calls refused by the admission queue"),
+    "task_errors": ("task", "Background tasks that ended with an error"),
     "resends": ("state", "Resends of identified calls, by state of the record"),
     "claims_unsettled": ("error", "Claims that the platform did not settle"),
+    "claims_removed": (
+        "none",
+        "Claims removed from the platform after their retention",
+    ),
     "draws_failed": ("organisation", "Tokens lapsed between arrival and dispatch"),
     "contexts_forged": ("none", "Peer calls without a valid signature"),
     "gossip_failed": ("none", "Gossip exchanges without a reply"),
