--- a/egretlift/transport/server.py
+++ b/egretlift/transport/server.py
@@ -1,6 +1,7 @@
 """HTTP servers of the daemon."""
 
 import asyncio
+import time
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
@@ -10,6 +11,8 @@
 from egretlift.transport.messages import answer_refusal, label_answer
 
 MAXIMUM_LINE_BYTES = 8190
+# Any sender can cause these events; more would only fill the log.
+MALFORMED_EVENTS_PER_SECOND = 20
 
 
 def describe_malformed(error):
@@ -38,10 +41,11 @@
     connection may take to send its first request.
     """
 
-    __slots__ = ("header_timer",)
+    __slots__ = ("header_timer", "may_report")
 
-    def __init__(self, manager, *, header_timeout_s, **options):
+    def __init__(self, manager, *, header_timeout_s, may_report, **options):
         super().__init__(manager, **options)
+        self.may_report = may_report
         self.header_timer = self._loop.call_later(header_timeout_s, self.force_close)
 
     def handle_error(self, request, status=500, exc=None, message=None):
@@ -58,7 +62,8 @@
             refusal, detail = describe_fault(), ""
         else:
             refusal, detail = describe_malformed(exc), describe_detail(message)
-            record_event("request-malformed", error=type(exc).__name__)
+            if self.may_report():
+                record_event("request-malformed", error=type(exc).__name__)
         answer = answer_refusal(refusal, detail)
         headers = [*answer.headers, *label_answer(answer)]
         response = web.Response(status=answer.status, body=answer.body)
@@ -73,6 +78,19 @@
         super().connection_lost(error)
 
 
+def limit_reports(per_second):
+    """Return a function that says whether one more event may be recorded now."""
+    second, reports = 0, 0
+
+    def may_report():
+        nonlocal second, reports
+        now = int(time.monotonic())
+        second, reports = now, reports + 1 if now == second else 1
+        return reports <= per_second
+
+    return may_report
+
+
 def make_server(handle, settings):
     """Return a protocol factory that passes each request to ``handle``.
 
@@ -101,10 +119,13 @@
         loop=loop,
     )
 
+    may_report = limit_reports(MALFORMED_EVENTS_PER_SECOND)
+
     def open_connection():
         return BoundedConnection(
             server,
             header_timeout_s=settings.header_timeout_s,
+            may_report=may_report,
             loop=loop,
             **server._kwargs,
         )
--- a/integration/test_input.py
+++ b/integration/test_input.py
@@ -268,6 +268,15 @@
         answers, _ = exchange_bytes(self.port("operators"), data)
         self.assertEqual(answers[0][0], status)
 
+    def test_malformed_requests_do_not_fill_the_log(self):
+        started = time.monotonic()
+        for _ in range(300):
+            exchange_bytes(self.port("caller"), b"GARBAGE\r\n\r\n")
+        seconds = time.monotonic() - started
+        lines = self.read_logs()[0][self.lengths[0] :].count("request-malformed")
+        self.assertGreater(lines, 0)
+        self.assertLessEqual(lines, 20 * (int(seconds) + 2))
+
     def test_body_cut_by_a_closed_connection(self):
         for size in (50, 500_000):
             length = b"content-length: %d\r\n" % size
