Judge organisations above their rate by the number of their whole requests

Cause: with an organisation at 5 times its rate, the worst-served share was 64 to 72% for every policy.

Conclusion: the share no longer depends on which requests the bucket picks.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -124,12 +124,12 @@
     return "not within the run" if seconds is None else f"{seconds:.1f} s"
 
 
-def print_measures(totals, attempts, trigger, offered):
+def print_measures(organisations, totals, attempts, trigger, offered):
     """Print the four measures and what they were counted from."""
     requests = join_requests(attempts)
     first, last = requests[0][0], requests[-1][0]
     recovery = find_recovery(requests, (first, trigger[0]), trigger[1], last)
-    worst, refused = count_within_rate(totals)
+    worst, refused = count_within_rate(organisations, attempts)
     print(f"requests            {totals['requests']} ({offered:.0f} a second)")
     print(
         f"goodput             {totals['goodput']:.1f} whole requests a second,"
@@ -172,7 +172,7 @@
             )
         finally:
             statuses = stop_mesh(mesh)
-    print_measures(*results, rate)
+    print_measures(plan["organisations"], *results, rate)
     failed = {name: status for name, status in statuses.items() if status}
     unexplained = count_unexplained(results[1])
     for name, status in failed.items():
--- a/bench/tests/test_measures.py
+++ b/bench/tests/test_measures.py
@@ -6,7 +6,7 @@
 
 from bench.demo import count_unexplained
 from bench.deployments import DEPLOYMENTS, compute_capacity
-from bench.measures import find_recovery, join_requests
+from bench.measures import count_within_rate, find_recovery, join_requests
 
 
 def make_requests(bad_until, slow_until=0.0):
@@ -56,6 +56,30 @@
         ]
         self.assertEqual(join_requests(rows), [(1.0, 1.0)])
 
+    @params(
+        ("within", 5, 0, 1.0, 0.0),
+        ("some refused within", 5, 2, 0.6, 0.4),
+        ("only the excess refused", 20, 10, 1.0, 0.0),
+        ("more than the excess refused", 20, 12, 0.8, 0.2),
+    )
+    def test_within_rate(self, _name, sent, refused, served, refused_share):
+        rows = [
+            {
+                "organisation": "o",
+                "request": f"r{number}",
+                "request_id": f"r{number}.0",
+                "attempt": 0,
+                "start": 0.0,
+                "whole": number >= refused,
+                "reason": "rate" if number < refused else None,
+            }
+            for number in range(sent)
+        ]
+        organisations = [{"name": "o", "rate": 1.0, "burst": 10.0}]
+        found = count_within_rate(organisations, rows)
+        self.assertAlmostEqual(found[0], served)
+        self.assertAlmostEqual(found[1], refused_share)
+
     def test_calls_without_a_reason_are_reported(self):
         row = {"route": "r", "status": 503, "error": None, "whole": False}
         rows = [row | {"reason": "rate"}, row | {"reason": None}]
