--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -313,11 +313,14 @@
 
 async def handle_announcement(board, request):
     """Take an upstream's announcement."""
-    status = 400
+    status, errors = 400, []
     body = RequestBody(request, board.settings.body_gap_s)
     try:
         await hold_body(body, ANNOUNCEMENT_BYTES)
-        accept_announcement(board, json.loads(body.data))
+        if not accept_announcement(board, json.loads(body.data)):
+            status = 409
+            remedy = "announce again in a second"
+            errors = [{"error": "the upstream has just left", "remedy": remedy}]
     except BodyTooLarge:
         status = 413
         remedy = f"send at most {ANNOUNCEMENT_BYTES} bytes"
@@ -333,9 +336,9 @@
             {"error": error.message, "remedy": error.remedy}
             for error in group.exceptions
         ]
-    else:
-        return web.json_response({"lease_s": board.settings.announcement_lease_s})
-    return web.json_response({"errors": errors}, status=status)
+    if errors:
+        return web.json_response({"errors": errors}, status=status)
+    return web.json_response({"lease_s": board.settings.announcement_lease_s})
 
 
 def split_outgoing(request):
@@ -462,7 +465,7 @@
         if answer.outcome is not Outcome.WHOLE:
             report_failure(board, call, answer)
         extra = label(board, call, answer) if label else ()
-        return await send_answer(request, answer, extra)
+        return await send_answer(request, answer, extra, board.stopping)
     finally:
         board.open_requests -= 1
 
@@ -503,11 +506,16 @@
     return headers
 
 
-async def send_answer(request, answer, extra=()):
-    """Send an answer; a truncated body closes the connection without an end."""
+async def send_answer(request, answer, extra=(), closing=False):
+    """Send an answer; a truncated body closes the connection without an end.
+
+    ``closing`` tells the caller to send its next request on a new connection.
+    """
     headers = [*answer.headers, *label_answer(answer), *extra]
     if answer.body is not None:
         response = web.Response(status=answer.status, body=answer.body)
+        if closing:
+            response.force_close()
         fill_headers(response, headers, skip="content-length")
         if ends_connection(request):
             response.force_close()
@@ -516,6 +524,8 @@
         await response.write_eof()
         return response
     response = web.StreamResponse(status=answer.status)
+    if closing:
+        response.force_close()
     fill_headers(response, headers)
     if ends_connection(request):
         response.force_close()
