--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -26,9 +26,19 @@
         ``absent``, ``serving``, ``draining`` or ``left``.
     expires_at : float
         End of the announcement's lease, monotonic seconds.
+    closed_until : float
+        Until when announcements are ignored after a drain or leave.
     """
 
-    __slots__ = ("address", "expires_at", "port", "routes", "service", "status")
+    __slots__ = (
+        "address",
+        "closed_until",
+        "expires_at",
+        "port",
+        "routes",
+        "service",
+        "status",
+    )
 
     def __init__(self):
         self.service = ""
@@ -37,6 +47,7 @@
         self.routes = []
         self.status = "absent"
         self.expires_at = 0.0
+        self.closed_until = 0.0
 
 
 class Counters:
@@ -72,6 +83,8 @@
         What this host holds of each organisation's rate.
     holders : dict of str to (int, str)
         Epoch and host of the holder of each zone's lease.
+    holders_sent : dict of str to ((int, str), int)
+        The holder of each zone that was gossiped last, and how often.
     allocators : dict of str to Allocator
         Allocators by organisation while this host holds its zone's lease.
     released_claims : dict of (organisation, identifier) to float
@@ -91,9 +104,11 @@
         "catalog",
         "catalog_complete",
         "channels",
+        "checking_platform",
         "counters",
         "fresh_objects",
         "holders",
+        "holders_sent",
         "host_records",
         "identifier_sequence",
         "incarnation",
@@ -160,6 +175,7 @@
         self.slots = {}
         self.quotas = {}
         self.holders = {}
+        self.holders_sent = {}
         self.share_wanted = anyio.Event()
         self.allocators = {}
         self.zone_shares = {}
@@ -182,6 +198,7 @@
         self.platform = None
         self.platform_reached_at = None
         self.platform_failed_at = None
+        self.checking_platform = False
         self.open_requests = 0
         self.reported = [0, 0]
         self.stopping = False
