Let a catalog larger than one gossip message complete

Causes: a peer with the newest revision and a gap below it was always sent the first 1000 objects, so a gap further up never closed. A new daemon gets into this state when a change is pushed to it before it has the rest; while the platform is out of reach it then refused keyed calls for ever. And a message was bounded in objects only, which with objects of 1 MB each is more than passes in the time limit of an exchange.

Change: where the whole catalog is needed, each message starts at a random object, and carries at most 1 MB or one object. The operators' server is ended by its own event, so that it can be started again after an error.

--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -44,8 +44,10 @@
 HOLDERS_PER_MESSAGE = 4
 # As often as a member change is sent in a mesh of 16,000 hosts.
 HOLDER_SENDS = 42
-# Keeps a message below the 4 MB limit of gRPC; the rest follows in the next one.
+# A message has to pass within the time limit of an exchange; the rest follows in the
+# next one. An object may have up to 1 MB.
 OBJECTS_PER_MESSAGE = 1000
+OBJECT_BYTES_PER_MESSAGE = 1_000_000
 # Part of the exchanges that go to a dead member, to find the end of a partition.
 LOST_PEER_PART = 0.2
 # Part of the exchanges that go to seeds of which no member record is known. Without
@@ -74,6 +76,18 @@
     )
 
 
+def pack_objects(objects):
+    """Return the messages of the first objects, as many as one message may carry."""
+    messages, size = [], 0
+    for item in objects[:OBJECTS_PER_MESSAGE]:
+        message = pack_object(item)
+        size += message.ByteSize()
+        if messages and size > OBJECT_BYTES_PER_MESSAGE:
+            break
+        messages.append(message)
+    return messages
+
+
 def make_gossip(board, objects=(), members=(), zone=None):
     """Return a gossip request to a host of a zone with what every exchange carries."""
     age = staleness(board.catalog, time.monotonic())
@@ -85,7 +99,7 @@
         catalog_digest=digest_catalog(board.catalog),
         catalog_complete=board.catalog_complete,
         staleness_s=age,
-        objects=[pack_object(item) for item in objects[:OBJECTS_PER_MESSAGE]],
+        objects=pack_objects(objects),
         zone_lease=describe_lease_message(board, zone),
         holders=pack_holders(board),
         order=current_ring().order,
@@ -155,12 +169,17 @@
     """Return the objects that a peer with this revision and digest lacks.
 
     A peer with the same highest revision and another digest has a gap, which
-    only the whole catalog fills.
+    only the whole catalog fills. Where one message cannot carry it all, each
+    starts at a random object, so that every part is sent in time.
     """
     catalog = board.catalog
     if digest == digest_catalog(catalog) or revision > catalog.revision:
         return []
-    return objects_after(catalog, 0 if revision == catalog.revision else revision)
+    if revision < catalog.revision:
+        return objects_after(catalog, revision)
+    objects = objects_after(catalog, 0)
+    start = board.random.randrange(len(objects) or 1)
+    return objects[start:] + objects[:start]
 
 
 async def answer_gossip(board, request):
@@ -182,7 +201,7 @@
         catalog_digest=digest_catalog(board.catalog),
         catalog_complete=board.catalog_complete,
         staleness_s=staleness(board.catalog, time.monotonic()),
-        objects=[pack_object(item) for item in missing[:OBJECTS_PER_MESSAGE]],
+        objects=pack_objects(missing),
         zone_lease=describe_lease_message(board, request.sender.zone or None),
         holders=pack_holders(board),
         order=current_ring().order,
--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -179,15 +179,16 @@
     otherwise the daemon would live on without its controllers after one of them
     failed.
     """
+    trigger = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run_operators_server, board)
+        tasks.start_soon(run_operators_server, board, trigger.wait)
         try:
             await board.stop.wait()
         finally:
-            board.stop.set()
+            trigger.set()
 
 
-async def run_operators_server(board):
+async def run_operators_server(board, wait_for_end):
     """Serve the operators' port until the trigger is set."""
     config = Config()
     address = board.settings.address
@@ -200,6 +201,6 @@
         await serve(
             make_application(board),
             config,
-            shutdown_trigger=board.stop.wait,
+            shutdown_trigger=wait_for_end,
             mode="asgi",
         )
