--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -87,6 +87,8 @@
         The holder of each zone that was gossiped last, and how often.
     allocators : dict of str to Allocator
         Allocators by organisation while this host holds its zone's lease.
+    released_claims : dict of (organisation, identifier) to float
+        Claims of this host that a call may open a record for, until when.
     reported : list of int
         Second of the monotonic clock and the failures reported in it.
     stopping : bool
@@ -124,6 +126,7 @@
         "quotas",
         "random",
         "sessions",
+        "released_claims",
         "reported",
         "seeds_written",
         "settings",
@@ -167,6 +170,7 @@
         self.ledger = Ledger()
         self.counters = Counters()
         self.upstream = Upstream()
+        self.released_claims = {}
         self.calls = {}
         self.slots = {}
         self.quotas = {}
