Judge an upstream without the delays of its outgoing calls

Cause: while a deeper service was slow, the durations and failures of nested calls lowered the limits of the services above it to 4, and these held the chain back after it had recovered. Change: the limit counts the usual time of a kind's outgoing calls instead of the measured one, and a failure caused further down is no evidence. Tried and dropped: counting only the time without outgoing calls; a few milliseconds of a busy machine then halved the limit of a quick service.

--- a/egretlift/admission/limit.py
+++ b/egretlift/admission/limit.py
@@ -81,6 +81,10 @@
 TYPICAL_FALL = 1.12
 SERVICE_SMOOTHING = 0.05
 DURATION_MINIMUM_S = 1e-6
+# The usual time of outgoing calls follows slowly: some seconds of a service 10
+# times slower must not look like a slower upstream here.
+OUTGOING_SMOOTHING = 0.01
+OUTGOING_RISE = 1.2
 # Time after which one call may test a typical duration that refuses all calls.
 STALE_S = 0.1
 
@@ -90,8 +94,10 @@
 
     ``baseline`` is the mean service time without queueing and None until it is
     learned, ``typical`` the lower quartile of recent durations, both in seconds.
-    ``sampled_at`` is the time of the last sample, ``checked_at`` of the last
-    sample or test, ``starts`` the decaying number of calls started.
+    ``outgoing`` is the usual part of it that outgoing calls take, learned from
+    ``outgoing_count`` calls. ``sampled_at`` is the time of the last sample,
+    ``checked_at`` of the last sample or test, ``starts`` the decaying number of
+    calls started.
     """
 
     __slots__ = (
@@ -99,6 +105,8 @@
         "checked_at",
         "learned",
         "learning",
+        "outgoing",
+        "outgoing_count",
         "sampled_at",
         "starts",
         "total",
@@ -108,6 +116,8 @@
     def __init__(self):
         self.baseline = None
         self.typical = 0.0
+        self.outgoing = 0.0
+        self.outgoing_count = 0
         self.learning = 0
         self.learned = 0
         self.total = 0.0
@@ -266,7 +276,7 @@
         state.dip_took_s = now - current.opened_at
 
 
-def record_end(state, settings, now, waiting, duration_s, outcome):
+def record_end(state, settings, now, waiting, duration_s, outcome, outgoing_s=0.0):
     """Observe a call that ended.
 
     Parameters
@@ -281,6 +291,10 @@
         Time at the upstream in seconds.
     outcome : Outcome or None
         None if the call was abandoned, which says nothing about the upstream.
+    outgoing_s : float, optional
+        Part of the duration in which the upstream made calls itself. For the limit
+        its usual value counts: counted as measured, one slow service would lower
+        the limits of all services above it.
     """
     observer = waiting.round
     kind = find_kind(state, waiting.kind)
@@ -295,6 +309,9 @@
     # A fast failure is no service; a slow one shows at least its duration.
     if whole or duration_s > kind.typical:
         learn_typical(state, kind, now, duration_s)
+    if outgoing_s:
+        own_s = max(0.0, duration_s - outgoing_s)
+        duration_s = max(own_s + usual_outgoing(kind, outgoing_s), DURATION_MINIMUM_S)
     if observer is state.round:
         finish_call(observer, waiting, duration_s, whole)
     elif observer is kind:
@@ -307,6 +324,17 @@
         close_round(state, settings, now)
 
 
+def usual_outgoing(kind, outgoing_s):
+    """Update and return the usual time of a kind's own outgoing calls."""
+    if kind.baseline is None:
+        kind.outgoing_count += 1
+        kind.outgoing += (outgoing_s - kind.outgoing) / kind.outgoing_count
+        return outgoing_s
+    sample = min(outgoing_s, OUTGOING_RISE * kind.outgoing)
+    kind.outgoing += OUTGOING_SMOOTHING * (sample - kind.outgoing)
+    return kind.outgoing
+
+
 def note_later(current, kind, waiting, duration_s, whole):
     """Count a call that started after all calls of a round did."""
     full = current.tagged >= current.quota
--- a/egretlift/admission/queue.py
+++ b/egretlift/admission/queue.py
@@ -447,7 +447,7 @@
     return []
 
 
-def release_slot(state, settings, now, waiting, duration_s, outcome):
+def release_slot(state, settings, now, waiting, duration_s, outcome, outgoing_s=0.0):
     """Return the slot of a started call.
 
     Parameters
@@ -463,6 +463,8 @@
     outcome : Outcome or None
         None if the call was abandoned, for instance because its caller left; it
         then says nothing about the upstream.
+    outgoing_s : float, optional
+        Part of the duration in which the upstream made calls itself.
 
     Returns
     -------
@@ -473,7 +475,7 @@
     state.in_flight -= 1
     state.in_flight_by[waiting.priority] -= 1
     if settings.admission_policy == "adaptive":
-        record_end(state.limit, settings, now, waiting, duration_s, outcome)
+        record_end(state.limit, settings, now, waiting, duration_s, outcome, outgoing_s)
     return advance(state, settings, now)
 
 
--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -72,6 +72,11 @@
     outgoing_failed, outgoing_refused : bool
         Whether a call made by the upstream while it ran this call did not end
         whole, or was refused for load.
+    outgoing_open : int
+        Calls that the upstream is making now.
+    outgoing_s : float
+        Seconds in which the upstream was making at least one call; the current
+        such period began at ``outgoing_since``.
     """
 
     __slots__ = (
@@ -87,7 +92,10 @@
         "organisation",
         "outgoing",
         "outgoing_failed",
+        "outgoing_open",
         "outgoing_refused",
+        "outgoing_s",
+        "outgoing_since",
         "path",
         "priority",
         "profile",
@@ -115,6 +123,9 @@
         self.outgoing = False
         self.outgoing_failed = False
         self.outgoing_refused = False
+        self.outgoing_open = 0
+        self.outgoing_s = 0.0
+        self.outgoing_since = None
         self.repeated = False
         self.repeats = None
         self.token_zone = None
@@ -122,6 +133,20 @@
         self.profile = None
 
 
+def open_outgoing(call):
+    """Note that the upstream begins to make a call while it runs this one."""
+    if not call.outgoing_open:
+        call.outgoing_since = time.monotonic()
+    call.outgoing_open += 1
+
+
+def close_outgoing(call):
+    """Note that a call made by the upstream has ended."""
+    call.outgoing_open -= 1
+    if not call.outgoing_open:
+        call.outgoing_s += time.monotonic() - call.outgoing_since
+
+
 def remaining(call):
     """Return the seconds until the deadline of a call."""
     return call.deadline - time.monotonic()
--- a/egretlift/daemon/execution.py
+++ b/egretlift/daemon/execution.py
@@ -20,6 +20,7 @@
     IDENTIFIER_HEADER,
     ORGANISATION_HEADER,
     PRIORITY_HEADER,
+    Outcome,
     Refusal,
 )
 from egretlift.transport.forward import classify_upstream_answer, send_request
@@ -195,12 +196,17 @@
         classify_upstream_answer(answer, received)
     elif answer.reason == "no-connection" and board.upstream.port:
         count(board, "upstream_refused_connection", settings.host)
-    answer.deeper = call.outgoing_failed
+    # An upstream that gave up at its deadline may have left a call open.
+    answer.deeper = call.outgoing_failed or call.outgoing_open > 0
+    outgoing_s = measure_outgoing(call)
     count(board, "executions", call.service)
 
     def finish(whole):
         board.calls.pop(call.token, None)
-        give_back(board, waiting, duration_s, answer.outcome if whole else None)
+        # A failure further down says nothing about this upstream.
+        abandoned = not whole or answer.deeper and answer.outcome is not Outcome.WHOLE
+        outcome = None if abandoned else answer.outcome
+        give_back(board, waiting, duration_s, outcome, outgoing_s)
 
     answer.finish = finish
     if answer.body is not None:
@@ -209,7 +215,14 @@
     return answer
 
 
-def give_back(board, waiting, duration_s, outcome):
+def measure_outgoing(call):
+    """Return the seconds in which the upstream made calls itself."""
+    if call.outgoing_open:
+        return call.outgoing_s + time.monotonic() - call.outgoing_since
+    return call.outgoing_s
+
+
+def give_back(board, waiting, duration_s, outcome, outgoing_s=0.0):
     """Return a slot and start the calls that it makes room for."""
     decisions = release_slot(
         board.admission,
@@ -218,6 +231,7 @@
         waiting,
         duration_s,
         outcome,
+        outgoing_s,
     )
     apply_decisions(board, decisions)
 
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -20,7 +20,9 @@
 from egretlift.daemon.calls import (
     LOAD_REASONS,
     Call,
+    close_outgoing,
     failed_deeper,
+    open_outgoing,
     run_call,
     run_throttled,
 )
@@ -406,6 +408,7 @@
     lent = lend(parent.allowance)
     call.allowance = open_allowance(lent)
     outcome, deeper = Outcome.UNKNOWN, False
+    open_outgoing(parent)
     try:
         answer = await run_call(board, call)
         outcome, deeper = answer.outcome, failed_deeper(answer)
@@ -413,6 +416,7 @@
         parent.outgoing_refused |= refused
         return answer
     finally:
+        close_outgoing(parent)
         settle(parent.allowance, lent, close_allowance(call.allowance))
         record_end(parent.repeats, fingerprint, outcome, deeper)
         parent.outgoing_failed |= outcome is not Outcome.WHOLE
