--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -21,7 +21,7 @@
 from egretlift.daemon.execution import execute_here
 from egretlift.identity import CallContext, sign_context
 from egretlift.membership import hosts_of
-from egretlift.outcome import CONTEXT_HEADER, Outcome, Refusal
+from egretlift.outcome import CONTEXT_HEADER, Outcome, Priority, Refusal
 from egretlift.retries import find_budget, lend, record_request, settle
 from egretlift.retries import may_retry as pay_for_retry
 from egretlift.routing import (
@@ -340,6 +340,10 @@
     settings, now = board.settings, time.monotonic()
     if settings.admission_policy != "adaptive":
         return None
+    # A target is one route, and its counts do not show whether browsing on other
+    # routes is still accepted. Admission, which sees all routes, decides instead.
+    if call.priority == Priority.CRITICAL:
+        return None
     if not should_refuse(
         board.throttle, settings, now, board.random, target, call.priority
     ):
