--- a/egretlift/daemon/execution.py
+++ b/egretlift/daemon/execution.py
@@ -35,6 +35,11 @@
     "key-unknown": "use a key that is in force",
 }
 
+QUEUE_TICK_S = 0.01
+# Without calls there is nothing to expire; most of an idle daemon's processor time
+# went into such ticks.
+IDLE_TICK_S = 0.05
+
 
 def refuse(reason):
     """Return the answer for a call refused on this host."""
@@ -73,12 +78,12 @@
 async def enter_queue(board, call):
     """Wait for a slot of the upstream and return (waiting, refusal reason)."""
     settings, now = board.settings, time.monotonic()
-    weight = call.profile.weight if call.profile else 1.0
+    quota = find_quota(board.catalog, call.organisation)
     waiting = Waiting(
         call_id=call.token,
         organisation=call.organisation or "",
         priority=call.priority,
-        weight=weight,
+        weight=quota.weight if quota else 1.0,
         queued_at=now,
         deadline=call.deadline,
         kind=call.route[1] if call.route else "",
@@ -111,7 +116,8 @@
 async def expire_queue(board):
     """Refuse calls that have waited too long, for as long as the daemon runs."""
     while True:
-        await anyio.sleep(0.01)
+        busy = board.slots or board.calls
+        await anyio.sleep(QUEUE_TICK_S if busy else IDLE_TICK_S)
         apply_decisions(
             board, expire_waiting(board.admission, board.settings, time.monotonic())
         )
--- a/egretlift/daemon/operators.py
+++ b/egretlift/daemon/operators.py
@@ -17,6 +17,9 @@
 from egretlift.events import current_ring, events_after
 from egretlift.membership import encode_member
 
+# Digits of a sequence number; int() raises above 4,300.
+LONGEST_SEQUENCE = 18
+
 # Name of each counter on the blackboard, its label and its help text.
 COUNTERS = {
     "answers": ("outcome", "Answers given, by outcome and reason"),
@@ -26,8 +29,13 @@
     "throttled": ("target", "Calls refused early because work below is refused"),
     "refused_rate": ("organisation", "Calls refused for the organisation's rate"),
     "refused_admission": ("reason", "Calls refused by the admission queue"),
+    "task_errors": ("task", "Background tasks that ended with an error"),
     "resends": ("state", "Resends of identified calls, by state of the record"),
     "claims_unsettled": ("error", "Claims that the platform did not settle"),
+    "claims_removed": (
+        "none",
+        "Claims removed from the platform after their retention",
+    ),
     "draws_failed": ("organisation", "Tokens lapsed between arrival and dispatch"),
     "contexts_forged": ("none", "Peer calls without a valid signature"),
     "gossip_failed": ("none", "Gossip exchanges without a reply"),
@@ -129,7 +137,8 @@
         return 200, "application/json", json.dumps(describe_state(board)).encode()
     if path == "/events":
         after = parse_qs(query).get("after", ["0"])[0]
-        if not after.isdigit():
+        # isdigit() is also true of digits that int() does not read.
+        if not (after.isdecimal() and len(after) <= LONGEST_SEQUENCE):
             body = {"error": "after is not a number", "remedy": "give a sequence"}
             return 400, "application/json", json.dumps(body).encode()
         ring = current_ring()
@@ -144,6 +153,8 @@
     """Return the ASGI application of the operators' port."""
 
     async def answer(scope, receive, send):
+        if scope["type"] == "websocket":
+            await send({"type": "websocket.close"})
         if scope["type"] != "http":
             return
         status, kind, body = answer_operator(
@@ -162,7 +173,22 @@
 
 
 async def serve_operators(board):
-    """Serve the operators' port until the daemon stops."""
+    """Serve the operators' port until the daemon stops.
+
+    The server ends by its own trigger, which a cancellation has to set as well:
+    otherwise the daemon would live on without its controllers after one of them
+    failed.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_operators_server, board)
+        try:
+            await board.stop.wait()
+        finally:
+            board.stop.set()
+
+
+async def run_operators_server(board):
+    """Serve the operators' port until the trigger is set."""
     config = Config()
     address = board.settings.address
     config.bind = [f"{address}:{board.settings.operators_port}"]
--- a/egretlift/daemon/ports.py
+++ b/egretlift/daemon/ports.py
@@ -66,6 +66,7 @@
     RequestBody,
     answer_refusal,
     close_answer,
+    ends_connection,
     hold_body,
     label_answer,
     select_request_headers,
@@ -74,6 +75,9 @@
 # Deeper chains than this are taken for a loop in the call graph.
 DEEPEST_CALL = 32
 OUTGOING_PREFIX = "/call/"
+# 64 routes with the longest prefixes fit.
+ANNOUNCEMENT_BYTES = 262144
+EVENTS_PER_SECOND = 20
 
 
 class CallRefused(Exception):
@@ -112,7 +116,9 @@
     text = headers.get(TIMEOUT_HEADER)
     if text is None:
         return profile.timeout_s
-    if not text.isdigit() or int(text) == 0 or len(text) > 9:
+    # isdigit() is also true of digits that int() does not read, and int() raises
+    # for numbers of more than 4,300 digits.
+    if not text.isdecimal() or len(text) > 9 or int(text) == 0:
         raise CallRefused(
             "timeout-invalid", 400, f"give {TIMEOUT_HEADER} as whole milliseconds"
         )
@@ -309,19 +315,32 @@
 
 async def handle_announcement(board, request):
     """Take an upstream's announcement."""
+    status, errors = 400, []
+    body = RequestBody(request, board.settings.body_gap_s)
     try:
-        body = json.loads(await request.read())
-        accept_announcement(board, body)
-    except ValueError as error:
+        await hold_body(body, ANNOUNCEMENT_BYTES)
+        if not accept_announcement(board, json.loads(body.data)):
+            status = 409
+            remedy = "announce again in a second"
+            errors = [{"error": "the upstream has just left", "remedy": remedy}]
+    except BodyTooLarge:
+        status = 413
+        remedy = f"send at most {ANNOUNCEMENT_BYTES} bytes"
+        errors = [{"error": "the body is too large", "remedy": remedy}]
+    except (BodyTooSlow, BodyCutShort):
+        status = 408
+        remedy = "send the whole body without long pauses"
+        errors = [{"error": "the body did not arrive", "remedy": remedy}]
+    except (ValueError, RecursionError) as error:
         errors = [{"error": str(error), "remedy": "send a JSON object"}]
     except ExceptionGroup as group:
         errors = [
             {"error": error.message, "remedy": error.remedy}
             for error in group.exceptions
         ]
-    else:
-        return web.json_response({"lease_s": board.settings.announcement_lease_s})
-    return web.json_response({"errors": errors}, status=400)
+    if errors:
+        return web.json_response({"errors": errors}, status=status)
+    return web.json_response({"lease_s": board.settings.announcement_lease_s})
 
 
 def split_outgoing(request):
@@ -448,18 +467,34 @@
             )
         count(board, "answers", f"{answer.outcome.value}/{answer.reason}")
         if answer.outcome is not Outcome.WHOLE:
-            record_event(
-                "call-not-whole",
-                call=call.call_id if call else "",
-                outcome=answer.outcome.value,
-                reason=answer.reason,
-            )
+            report_failure(board, call, answer)
         extra = label(board, call, answer) if label else ()
-        return await send_answer(request, answer, extra)
+        return await send_answer(request, answer, extra, board.stopping)
     finally:
         board.open_requests -= 1
 
 
+def report_failure(board, call, answer):
+    """Record an answer that is not whole, up to a number of events a second.
+
+    Under overload most answers are refusals; logging each would cost more than
+    refusing it.
+    """
+    second = int(time.monotonic())
+    if board.reported[0] != second:
+        board.reported = [second, 0]
+    board.reported[1] += 1
+    if board.reported[1] > EVENTS_PER_SECOND:
+        count(board, "events_suppressed", "call-not-whole")
+        return
+    record_event(
+        "call-not-whole",
+        call_id=call.call_id if call else "",
+        outcome=answer.outcome.value,
+        reason=answer.reason,
+    )
+
+
 def make_hop_headers(board, call, answer):
     """Return the headers that only daemons read."""
     headers = [(LOAD_HEADER, format_load(report_load(board.admission)))]
@@ -475,18 +510,29 @@
     return headers
 
 
-async def send_answer(request, answer, extra=()):
-    """Send an answer; a truncated body closes the connection without an end."""
+async def send_answer(request, answer, extra=(), closing=False):
+    """Send an answer; a truncated body closes the connection without an end.
+
+    ``closing`` tells the caller to send its next request on a new connection.
+    """
     headers = [*answer.headers, *label_answer(answer), *extra]
     if answer.body is not None:
         response = web.Response(status=answer.status, body=answer.body)
+        if closing:
+            response.force_close()
         fill_headers(response, headers, skip="content-length")
+        if ends_connection(request):
+            response.force_close()
         close_answer(answer, whole=True)
         await response.prepare(request)
         await response.write_eof()
         return response
     response = web.StreamResponse(status=answer.status)
+    if closing:
+        response.force_close()
     fill_headers(response, headers)
+    if ends_connection(request):
+        response.force_close()
     whole = False
     try:
         await response.prepare(request)
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -8,7 +8,8 @@
 
 from egretlift.blackboard import count
 from egretlift.configuration import find_quota
-from egretlift.errors import ConflictError, EgretliftError
+from egretlift.daemon.tasks import start_task
+from egretlift.errors import ConflictError, EgretliftError, NotFound
 from egretlift.events import record_event
 from egretlift.quotas import (
     LeaseState,
@@ -19,6 +20,7 @@
     record_confirmation,
     resize_allocator,
     start_allocator,
+    zone_demand,
     zone_lease,
     zone_shares,
 )
@@ -98,15 +100,41 @@
     board.allocators = {}
     board.zone_shares = {}
     if lease.held_epoch:
-        wait_s = zone_lease.quarantine_s(lease, board.settings)
-        board.quarantine_until = time.monotonic() + wait_s
+        board.quarantine_until = lease.opens_at
         record_event("zone-lease-held", zone=lease.zone, epoch=lease.held_epoch)
     else:
         record_event("zone-lease-lost", zone=lease.zone)
 
 
+async def check_platform(board):
+    """Read the zone's lease to find out whether this host reaches the platform.
+
+    Without a check, a standby whose watch waits on a dead connection takes the
+    platform for reachable until the watch ends, which is longer than the lease.
+    """
+    if board.checking_platform:
+        return
+    board.checking_platform = True
+    lease, sent_at = my_lease(board), time.monotonic()
+    count(board, "platform_calls", "zone-lease")
+    try:
+        item = await board.platform.get_object("zone-lease", lease.zone)
+    except NotFound:
+        zone_lease.record_platform(lease, True)
+    except EgretliftError:
+        zone_lease.record_platform(lease, False)
+    else:
+        zone_lease.record_platform(lease, True)
+        adopt_lease(board, item, time.monotonic(), sent_at)
+    finally:
+        board.checking_platform = False
+
+
 async def answer_question(board, question):
     """Answer the holder's question whether the platform is out for all."""
+    if question.zone == board.settings.zone and my_lease(board).reachable:
+        # The next question, a tenth of a lease later, finds the result.
+        start_task(board, check_platform)
     confirmed = question.zone == board.settings.zone and zone_lease.confirm_lease(
         my_lease(board),
         board.settings,
@@ -153,7 +181,7 @@
     zone_lease.record_platform(lease, True)
     board.lease_specs[settings.zone] = item["spec"]
     zone_lease.record_written(
-        lease, settings, time.monotonic(), sent_at, item["revision"]
+        lease, settings, time.monotonic(), sent_at, item["revision"], item["spec"]
     )
     follow_epoch(board)
     board.kick_gossip.set()
@@ -161,9 +189,6 @@
 
 async def keep_zone_lease(board):
     """Renew or take over the zone lease for as long as the daemon runs."""
-    board.tasks.start_soon(confirm_zone_lease, board)
-    board.tasks.start_soon(keep_zone_shares, board)
-    board.tasks.start_soon(publish_seeds, board)
     lease, settings = my_lease(board), board.settings
     # Read before the first write, so that an existing lease is respected.
     await anyio.sleep(settings.gossip_period_s * board.random.uniform(0.2, 0.6))
@@ -316,6 +341,29 @@
     return rate, burst, part
 
 
+def list_other_zones(board):
+    """Return the other zones whose holder is known and alive."""
+    found = []
+    for zone, (_, holder) in board.holders.items():
+        member = board.members.members.get(holder)
+        alive = member is not None and member.status == "alive"
+        if alive and zone != board.settings.zone:
+            found.append(zone)
+    return sorted(found)
+
+
+def draws_elsewhere(board, state, burst):
+    """Return whether this zone's hosts can draw on the zone that holds the rate.
+
+    While they can, the zone asks for no part of a small burst.
+    """
+    holding = [zone for zone in state.zones if zone_shares.seen_share(state, zone)]
+    if not zone_shares.is_small(burst, len(board.holders)):
+        return False
+    others = list_other_zones(board)
+    return any(zone in others for zone in holding if zone != board.settings.zone)
+
+
 def plan_share_write(board, allocator, now):
     """Return the next write of an organisation's zone shares, or None."""
     settings = board.settings
@@ -324,16 +372,20 @@
     rate, burst, _ = fit_allocator(board, allocator, now)
     if rate <= 0:
         return None
-    zone_shares.plan_transfer(state, allocator.demand, rate, burst)
+    demand = zone_demand(allocator, settings, now)
+    if demand is not None and draws_elsewhere(board, state, burst):
+        demand = 0.0
+    zone_shares.record_demand(state, now, demand)
+    zone_shares.plan_transfer(state, now, rate, burst)
     _, _, part = fit_allocator(board, allocator, now)
-    within = is_within(allocator, settings, *part)
+    within = is_within(allocator, settings, now, *part)
     lost = [
         zone
         for zone, lease in board.leases.items()
         if zone != settings.zone and zone_lease.is_lost(lease, settings)
     ]
     return zone_shares.plan_reclaim(state, now, lost) or zone_shares.plan_write(
-        state, settings, now, allocator.demand, rate, burst, within
+        state, settings, now, rate, burst, within, list_other_zones(board)
     )
 
 
@@ -368,7 +420,7 @@
             write = plan_share_write(board, allocator, now)
             if write is not None:
                 board.share_writes.add(organisation)
-                board.tasks.start_soon(write_share, board, organisation, *write)
+                start_task(board, write_share, organisation, *write)
 
 
 def describe_zone_lease(board):
--- a/egretlift/quotas/zone_lease.py
+++ b/egretlift/quotas/zone_lease.py
@@ -115,6 +115,8 @@
         When the last successful renewal was sent.
     asked : dict of (host, incarnation) to float
         When the last confirmation of each standby was asked for.
+    opens_at : float
+        When the quarantine of this holder ends.
     promised_until : float
         Until when this host has promised not to take the lease over.
     """
@@ -127,6 +129,7 @@
         "host",
         "incarnation",
         "lease",
+        "opens_at",
         "promised_until",
         "reachable",
         "renewed_at",
@@ -154,6 +157,7 @@
         self.attempted_at = -math.inf
         self.reachable = True
         self.stopping = False
+        self.opens_at = now
         self.skip_quarantine = False
 
 
@@ -239,7 +243,7 @@
         state.held_epoch = 0
 
 
-def record_written(state, settings, now, sent_at, version):
+def record_written(state, settings, now, sent_at, version, spec):
     """Record the success of the last planned write.
 
     Parameters
@@ -252,10 +256,12 @@
         When the write that got the answer was sent.
     version : int
         The version it created.
+    spec : dict
+        The spec in the answer; the answer to any other write is only observed.
     """
-    if state.unsettled and version > state.version:
+    if state.unsettled and spec == state.unsettled.spec and version > state.version:
         state.unsettled.sent_at = sent_at
-        observe_lease(state, settings, now, sent_at, version, state.unsettled.spec)
+    observe_lease(state, settings, now, sent_at, version, spec)
 
 
 def accept_write(state, settings, now, sent_at, previous):
@@ -271,6 +277,7 @@
         state.renewed_at = sent_at
         state.asked = {}
         state.skip_quarantine = previous.drained or previous.epoch == 0
+        state.opens_at = now + quarantine_s(state, settings)
     elif state.held_epoch == lease.epoch:
         state.renewed_at = sent_at
     give_up_lapsed(state, settings, now)
@@ -399,7 +406,7 @@
     >>> spec, expected = plan_write(state, settings, 0.0)
     >>> expected, spec["holder"], spec["epoch"]
     (0, 'h1', 1)
-    >>> record_written(state, settings, 0.1, 0.0, version=3)
+    >>> record_written(state, settings, 0.1, 0.0, 3, spec)
     >>> may_hold(state, settings, 0.1), may_hold(state, settings, 9.95)
     (True, False)
     """
@@ -433,7 +440,8 @@
             old.standbys,
             old.renewed + 1,
             released=True,
-            drained=drained,
+            # In quarantine the grants of the holder before this one may be valid.
+            drained=drained and now >= state.opens_at,
         )
     if state.held_epoch:
         if now - state.attempted_at < settings.zone_lease_renewal_s:
