Keep events of earlier tests out of the log test

Cause: eliot buffers events until its first destination and gave 30 events of other tests to the stream of test_awkward_values. Change: the set-up starts the log on a stream of its own first; the assertions are unchanged.

--- a/egretlift/events/tests/test_events.py
+++ b/egretlift/events/tests/test_events.py
@@ -61,6 +61,9 @@
     """Guards against events that break the line format or the JSON of /events."""
 
     def setUp(self):
+        # Eliot hands events recorded before its first destination to that one, so
+        # those of earlier tests go to a stream of their own.
+        start_logging("h1", io.StringIO())
         self.stream = io.StringIO()
         self.ring = start_logging("h1", self.stream)
 
