--- a/bench/measures.py
+++ b/bench/measures.py
@@ -119,6 +119,6 @@
             continue
         whole = {item["request"] for item in own if item["whole"]}
         served.append(min(1.0, len(whole) / first))
-        refusals = sum(item["reason"] is not None for item in own)
+        refusals = sum(item["outcome"] == "refused-not-run" for item in own)
         refused.append(max(0, refusals - (len(own) - allowed)) / allowed)
     return min(served, default=None), max(refused, default=None)
--- a/bench/tests/test_measures.py
+++ b/bench/tests/test_measures.py
@@ -71,7 +71,7 @@
                 "attempt": 0,
                 "start": 0.0,
                 "whole": number >= refused,
-                "reason": "rate" if number < refused else None,
+                "outcome": "refused-not-run" if number < refused else "whole",
             }
             for number in range(sent)
         ]
@@ -80,6 +80,12 @@
         self.assertAlmostEqual(found[0], served)
         self.assertAlmostEqual(found[1], refused_share)
 
+    def test_a_failure_is_no_refusal(self):
+        row = {"organisation": "o", "request": "r", "request_id": "r.0", "attempt": 0}
+        row |= {"start": 0.0, "whole": False, "outcome": "failed-was-run"}
+        organisations = [{"name": "o", "rate": 1.0, "burst": 10.0}]
+        self.assertEqual(count_within_rate(organisations, [row]), (0.0, 0.0))
+
     def test_calls_without_a_reason_are_reported(self):
         row = {"route": "r", "status": 503, "error": None, "whole": False}
         rows = [row | {"reason": "rate"}, row | {"reason": None}]
