--- a/egretlift/daemon/calls.py
+++ b/egretlift/daemon/calls.py
@@ -22,7 +22,7 @@
 from egretlift.daemon.execution import execute_here
 from egretlift.identity import CallContext, sign_context
 from egretlift.membership import hosts_of
-from egretlift.outcome import CONTEXT_HEADER, Outcome, Refusal
+from egretlift.outcome import CONTEXT_HEADER, Outcome, Priority, Refusal
 from egretlift.retries import find_budget, lend, record_request, settle
 from egretlift.retries import may_retry as pay_for_retry
 from egretlift.routing import (
@@ -73,6 +73,11 @@
     outgoing_failed, outgoing_refused : bool
         Whether a call made by the upstream while it ran this call did not end
         whole, or was refused for load.
+    outgoing_open : int
+        Calls that the upstream is making now.
+    outgoing_s : float
+        Seconds in which the upstream was making at least one call; the current
+        such period began at ``outgoing_since``.
     """
 
     __slots__ = (
@@ -88,7 +93,10 @@
         "organisation",
         "outgoing",
         "outgoing_failed",
+        "outgoing_open",
         "outgoing_refused",
+        "outgoing_s",
+        "outgoing_since",
         "path",
         "priority",
         "profile",
@@ -116,6 +124,9 @@
         self.outgoing = False
         self.outgoing_failed = False
         self.outgoing_refused = False
+        self.outgoing_open = 0
+        self.outgoing_s = 0.0
+        self.outgoing_since = None
         self.repeated = False
         self.repeats = None
         self.token_zone = None
@@ -123,6 +134,20 @@
         self.profile = None
 
 
+def open_outgoing(call):
+    """Note that the upstream begins to make a call while it runs this one."""
+    if not call.outgoing_open:
+        call.outgoing_since = time.monotonic()
+    call.outgoing_open += 1
+
+
+def close_outgoing(call):
+    """Note that a call made by the upstream has ended."""
+    call.outgoing_open -= 1
+    if not call.outgoing_open:
+        call.outgoing_s += time.monotonic() - call.outgoing_since
+
+
 def remaining(call):
     """Return the seconds until the deadline of a call."""
     return call.deadline - time.monotonic()
@@ -316,6 +341,10 @@
     settings, now = board.settings, time.monotonic()
     if settings.admission_policy != "adaptive":
         return None
+    # A target is one route, and its counts do not show whether browsing on other
+    # routes is still accepted. Admission, which sees all routes, decides instead.
+    if call.priority == Priority.CRITICAL:
+        return None
     if not should_refuse(
         board.throttle, settings, now, board.random, target, call.priority
     ):
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -41,11 +41,19 @@
 from egretlift.transport.generated import control_pb2 as pb
 
 MEMBERS_PER_MESSAGE = 32
+# Records of a reply to a peer whose table differs: few repair what was missed, many
+# let a new daemon learn of a large mesh within minutes.
+MEMBERS_FOR_REPAIR = 8
+MEMBERS_FOR_JOINING = 500
+# Part of the members below which a peer counts as joining.
+JOINED_PART = 0.99
 HOLDERS_PER_MESSAGE = 4
 # As often as a member change is sent in a mesh of 16,000 hosts.
 HOLDER_SENDS = 42
-# Keeps a message below the 4 MB limit of gRPC; the rest follows in the next one.
+# A message has to pass within the time limit of an exchange; the rest follows in the
+# next one. An object may have up to 1 MB.
 OBJECTS_PER_MESSAGE = 1000
+OBJECT_BYTES_PER_MESSAGE = 1_000_000
 # Part of the exchanges that go to a dead member, to find the end of a partition.
 LOST_PEER_PART = 0.2
 # Part of the exchanges that go to seeds of which no member record is known. Without
@@ -74,6 +82,18 @@
     )
 
 
+def pack_objects(objects):
+    """Return the messages of the first objects, as many as one message may carry."""
+    messages, size = [], 0
+    for item in objects[:OBJECTS_PER_MESSAGE]:
+        message = pack_object(item)
+        size += message.ByteSize()
+        if messages and size > OBJECT_BYTES_PER_MESSAGE:
+            break
+        messages.append(message)
+    return messages
+
+
 def make_gossip(board, objects=(), members=(), zone=None):
     """Return a gossip request to a host of a zone with what every exchange carries."""
     age = staleness(board.catalog, time.monotonic())
@@ -81,11 +101,12 @@
         sender=pack_member(board.me),
         members=[pack_member(member) for member in members],
         member_digest=digest_table(board.members),
+        member_count=len(board.members.members),
         revision=board.catalog.revision,
         catalog_digest=digest_catalog(board.catalog),
         catalog_complete=board.catalog_complete,
         staleness_s=age,
-        objects=[pack_object(item) for item in objects[:OBJECTS_PER_MESSAGE]],
+        objects=pack_objects(objects),
         zone_lease=describe_lease_message(board, zone),
         holders=pack_holders(board),
         order=current_ring().order,
@@ -120,9 +141,14 @@
 def take_members(board, messages):
     """Merge member records and refute false news of this host."""
     now = time.monotonic()
+    # A long message tells a joining daemon what all others know already.
+    is_news = len(messages) <= MEMBERS_PER_MESSAGE + 2
     for member in merge_members(board.members, now, unpack_members(messages)):
         if member.host == board.me.host:
             continue
+        if not is_news:
+            board.members.unsent.pop(member.host, None)
+            continue
         record_event(
             "member-changed",
             member=member.host,
@@ -155,12 +181,28 @@
     """Return the objects that a peer with this revision and digest lacks.
 
     A peer with the same highest revision and another digest has a gap, which
-    only the whole catalog fills.
+    only the whole catalog fills. Where one message cannot carry it all, each
+    starts at a random object, so that every part is sent in time.
     """
     catalog = board.catalog
     if digest == digest_catalog(catalog) or revision > catalog.revision:
         return []
-    return objects_after(catalog, 0 if revision == catalog.revision else revision)
+    if revision < catalog.revision:
+        return objects_after(catalog, revision)
+    objects = objects_after(catalog, 0)
+    start = board.random.randrange(len(objects) or 1)
+    return objects[start:] + objects[:start]
+
+
+def choose_fill(board, request):
+    """Return how many records a reply to a peer with another table is filled to.
+
+    In a large mesh some change is always under way, so tables nearly always
+    differ; a peer that knows few members has just joined.
+    """
+    known = len(board.members.members)
+    joining = 0 < request.member_count < JOINED_PART * known
+    return MEMBERS_FOR_JOINING if joining else MEMBERS_FOR_REPAIR
 
 
 async def answer_gossip(board, request):
@@ -168,7 +210,11 @@
     count(board, "control_bytes", "received", request.ByteSize())
     take_exchange(board, request)
     members = members_to_send(
-        board.members, board.random, MEMBERS_PER_MESSAGE, request.member_digest
+        board.members,
+        board.random,
+        MEMBERS_PER_MESSAGE,
+        request.member_digest,
+        choose_fill(board, request),
     )
     known = board.members.members.get(request.sender.host)
     if known is not None and known not in members:
@@ -182,7 +228,7 @@
         catalog_digest=digest_catalog(board.catalog),
         catalog_complete=board.catalog_complete,
         staleness_s=staleness(board.catalog, time.monotonic()),
-        objects=[pack_object(item) for item in missing[:OBJECTS_PER_MESSAGE]],
+        objects=pack_objects(missing),
         zone_lease=describe_lease_message(board, request.sender.zone or None),
         holders=pack_holders(board),
         order=current_ring().order,
--- a/egretlift/daemon/tests/test_gossip.py
+++ b/egretlift/daemon/tests/test_gossip.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import anyio
 from nose2.tools import params
 
 from egretlift.blackboard import Blackboard
@@ -9,11 +10,14 @@
 from egretlift.daemon.gossip import (
     HOLDER_SENDS,
     HOLDERS_PER_MESSAGE,
+    answer_gossip,
     make_gossip,
     pick_partner,
+    take_members,
 )
 from egretlift.membership import Member, merge_members
 from egretlift.settings import Settings
+from egretlift.transport.codec import pack_member
 
 ADDRESS = "127.0.0.1"
 
@@ -99,5 +103,29 @@
             self.assertEqual(message.HasField("zone_lease"), told)
 
 
+class TestFill(unittest.TestCase):
+    """Guards against full replies for one change and against slow joining."""
+
+    @params((0, 8), (1, 500), (500, 500), (980, 500), (995, 8), (1001, 8))
+    def test_fill(self, count, expected):
+        board = make_board(())
+        merge_members(board.members, 0.0, map(make_member, range(2, 1002)))
+        board.members.unsent.clear()
+        request = make_gossip(make_board(()))
+        request.member_digest, request.member_count = "other", count
+        reply = anyio.run(answer_gossip, board, request)
+        # The sender's own record is added if it is not among them.
+        self.assertIn(len(reply.members), (expected, expected + 1))
+
+    @params((30, 30), (500, 0))
+    def test_learnt_while_joining_is_no_news(self, count, unsent):
+        board = make_board(())
+        known = len(board.members.unsent)
+        members = map(make_member, range(2, 2 + count))
+        take_members(board, [pack_member(member) for member in members])
+        self.assertEqual(len(board.members.members), count + 1)
+        self.assertEqual(len(board.members.unsent) - known, unsent)
+
+
 if __name__ == "__main__":
     unittest.main()
