Start the partition test with shares on every host and a lease of 4 s

The test now waits for a share on each host, and the cut of 8 s still outlasts each lease. The bounds are the same.

--- a/integration/test_zones.py
+++ b/integration/test_zones.py
@@ -13,7 +13,7 @@
 from integration.faults import run_faulty
 from integration.history import check_history, largest_excess
 from integration.meshes import make_load, make_plan, prepare_mesh, run_mesh, wait_for
-from integration.watching import wait_until_equal, watch_hosts
+from integration.watching import send_keyed, wait_until_equal, watch_hosts
 from standins.mesh import (
     freeze_process,
     kill_process,
@@ -35,8 +35,8 @@
     "gossip_timeout_s": 0.3,
     "suspect_period_s": 1,
     "member_retention_s": 2,
-    "zone_lease_s": 3,
-    "zone_lease_renewal_s": 0.5,
+    "zone_lease_s": 4,
+    "zone_lease_renewal_s": 1,
     "share_lease_s": 1,
     "share_renewal_s": 0.25,
     "platform_timeout_s": 0.6,
@@ -46,7 +46,7 @@
 OFFERED = {"studio": 60.0, "dealer": 30.0, "greedy": 60.0}
 # The offered calls leave every zone a share well above what reaches it.
 WARM_S = 3.0
-CUT_S = 7.0
+CUT_S = 8.0
 HEALED_S = 4.0
 # Executions are recorded at the upstream after the token was drawn at the daemon;
 # differing delays between the two can move calls into a window.
@@ -98,6 +98,17 @@
     return len(inside), sum(attempt["whole"] for attempt in inside)
 
 
+def wait_for_shares(mesh):
+    """Wait until each host serves each organisation, which takes a share."""
+    for host in mesh.hosts:
+        for name in ORGANISATIONS:
+            wait_for(
+                lambda host=host, name=name: send_keyed(mesh, host, name)[0] == 200,
+                20.0,
+                f"{host} has no share of {name}",
+            )
+
+
 def run_partition(seed, mode):
     """Cut every zone from the others and the platform under load.
 
@@ -110,6 +121,7 @@
     marks = {}
     with run_mesh(make_plan(ZONES, settings=SETTINGS)) as mesh:
         prepare_mesh(mesh, ORGANISATIONS)
+        wait_for_shares(mesh)
         cut = functools.partial(set_zones, mesh, ZONES, True, mode=mode)
         heal = functools.partial(set_zones, mesh, ZONES, True, mode="pass")
 
@@ -225,7 +237,7 @@
         prepare_mesh(mesh, ORGANISATIONS)
         holder = find_holder(mesh, "a")
         name = f"daemon/{holder}"
-        time.sleep(WARM_S)
+        wait_for_shares(mesh)
         found["before"] = read_state(mesh, holder)["zone_lease"]["epoch"]
         others = [host for host in mesh.hosts if host != holder]
 
@@ -257,12 +269,12 @@
             OFFERED,
             [{"name": "browse", "path": "/calendar/{id}", "timeout_s": 1.0}],
             rate=sum(OFFERED.values()),
-            phases=[{"duration_s": 14.0, "multiplier": 1.0}],
+            phases=[{"duration_s": 15.0, "multiplier": 1.0}],
         )
         targets = list_callers(mesh)
         del targets[list(mesh.hosts).index(holder)]
         load["targets"] = {"checkout": targets}
-        schedule = [(1.0, begin), (9.0, end)]
+        schedule = [(1.0, begin), (10.0, end)]
         attempts, executions, _ = run_faulty(mesh, load, schedule)
         found["rejoined_s"] = wait_until_equal(mesh, 20.0)
         found["after"] = read_state(mesh, find_holder(mesh, "a"))["zone_lease"]["epoch"]
