--- a/integration/test_shedding.py
+++ b/integration/test_shedding.py
@@ -239,12 +239,13 @@
         self.check_goodput("bookings alone exceed", 0.95)
 
     def check_bookings(self, names):
+        # Without subtests, whose names CI could not find in KNOWN-RED.txt.
+        refused = {}
         for name in names:
-            with self.subTest(name=name):
-                window = self.windows[name]
-                sent = select_attempts(self.attempts, "book", *window)
-                self.assertGreater(len(sent), 50)
-                self.assertEqual([], list(filter(is_refused, sent))[:3])
+            sent = select_attempts(self.attempts, "book", *self.windows[name])
+            self.assertGreater(len(sent), 50)
+            refused[name] = list(filter(is_refused, sent))[:3]
+        self.assertEqual({name: [] for name in names}, refused)
 
     def test_bookings_inside_capacity_are_not_refused(self):
         self.check_bookings(NAMES[:3])
@@ -253,19 +254,21 @@
         self.check_bookings(["slow host"])
 
     def test_no_browsing_after_a_refused_booking(self):
-        for name in (*NAMES[:3], NAMES[-1]):
-            with self.subTest(name=name):
-                window = self.windows[name]
-                found = find_overtaken(self.attempts, self.executions, *window)
-                self.assertEqual([], found[:3])
+        names = (*NAMES[:3], NAMES[-1])
+        found = {
+            name: find_overtaken(self.attempts, self.executions, *self.windows[name])[
+                :3
+            ]
+            for name in names
+        }
+        self.assertEqual({name: [] for name in names}, found)
         refused = select_attempts(self.attempts, "book", *self.windows[NAMES[-1]])
         # Without refused bookings there would be nothing to compare.
         self.assertGreater(sum(map(is_refused, refused)), 50)
 
     def test_uploads_progress_while_browsing_is_shed(self):
-        for name in NAMES[:4]:
-            with self.subTest(name=name):
-                self.assertLess(upload_gaps(self.attempts, *self.windows[name]), 2.0)
+        gaps = [upload_gaps(self.attempts, *self.windows[name]) for name in NAMES[:4]]
+        self.assertLess(max(gaps), 2.0, gaps)
 
     def test_uploads_progress_while_bookings_exceed_capacity(self):
         gap = upload_gaps(self.attempts, *self.windows[NAMES[-1]])
