--- a/egretlift/blackboard.py
+++ b/egretlift/blackboard.py
@@ -205,3 +205,7 @@
         self.stop = anyio.Event()
         self.kick_gossip = anyio.Event()
         self.tasks = None
+
+    def count(self, name, label="", amount=1):
+        """Add to a counter; see `count`."""
+        count(self, name, label, amount)
--- a/egretlift/cli/session.py
+++ b/egretlift/cli/session.py
@@ -3,7 +3,7 @@
 import anyio
 
 from egretlift.errors import SettingError
-from egretlift.platform import PlatformClient
+from egretlift.platform.client import PlatformClient
 from egretlift.settings import Settings, read_endpoints, read_positive, read_url
 
 
--- a/egretlift/daemon/answers.py
+++ b/egretlift/daemon/answers.py
@@ -27,6 +27,7 @@
     answer_refusal,
     close_answer,
     ends_connection,
+    fill_headers,
     label_answer,
 )
 
@@ -142,10 +143,3 @@
     finally:
         close_answer(answer, whole)
     return response
-
-
-def fill_headers(response, headers, skip=""):
-    """Add headers to a response, keeping repeated ones."""
-    for name, value in headers:
-        if name.lower() != skip:
-            response.headers.add(name, value)
--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -37,7 +37,7 @@
 from egretlift.errors import EgretliftError
 from egretlift.events import record_event, start_logging
 from egretlift.idempotency import drop_record, expire_records
-from egretlift.platform import PlatformClient
+from egretlift.platform.client import PlatformClient
 from egretlift.settings import parse_settings
 from egretlift.transport.control import (
     ControlHandlers,
--- a/egretlift/daemon/tasks.py
+++ b/egretlift/daemon/tasks.py
@@ -4,7 +4,6 @@
 
 import anyio
 
-from egretlift.blackboard import count
 from egretlift.events import record_event
 
 RESTART_PAUSE_S = 1.0
@@ -23,7 +22,7 @@
     try:
         await function(board, *arguments)
     except Exception as error:
-        count(board, "task_errors", function.__name__)
+        board.count("task_errors", function.__name__)
         record_event(
             "task-error",
             task=function.__name__,
--- a/egretlift/platform/__init__.py
+++ b/egretlift/platform/__init__.py
@@ -1,9 +1,6 @@
-"""Client of the platform's object API.
+"""The users' platform: names, formats and calls; nothing here decides.
 
-Errors of the calls are ``ConflictError``, ``NotFound``, ``PlatformUnavailable``
-and ``WriteUnsettled`` of `egretlift.errors`.
+``client`` is the client of the product's own object API, ``store`` the one of the
+platform's metadata store. Import the module that is needed; each loads only its own
+libraries.
 """
-
-from egretlift.platform.client import PlatformClient
-
-__all__ = ["PlatformClient"]
--- /dev/null
+++ b/egretlift/platform/bootfile.py
@@ -0,0 +1,137 @@
+"""The platform's settings file, decoded into the settings of a sidecar daemon."""
+
+import json
+from pathlib import Path
+
+from egretlift.errors import SettingError
+from egretlift.sidecar.settings import Bounds, SidecarSettings
+
+# Bounds that the file may leave out, in the units of the file.
+BOUNDS_DEFAULT = {
+    "drain_s": 2.0,
+    "grace_s": 6.0,
+    "ack_s": 4.0,
+    "retry_budget_ratio": 0.2,
+    "retry_budget_slack": 20.0,
+    "budget_window_s": 10.0,
+    "quota_window_s": 5.0,
+    "quota_overage": 0.0,
+    "quota_slack": 0.0,
+    "config_apply_s": 2.0,
+}
+
+
+def read_endpoint(value, name, errors):
+    """Return (address, port) from ``address:port``."""
+    try:
+        address, _, port = value.rpartition(":")
+        return address, int(port)
+    except (AttributeError, ValueError):
+        remedy = "give address:port in the settings file"
+        errors.append(SettingError(f"{name} is {value!r}", remedy))
+        return None
+
+
+def read_text(document, name, errors):
+    """Return a text field that must not be empty."""
+    value = document.get(name)
+    if not isinstance(value, str) or not value:
+        remedy = "give a text in the settings file"
+        errors.append(SettingError(f"{name} is {value!r}", remedy))
+    return value
+
+
+def read_section(document, name, errors):
+    """Return a section of the file, an empty one if it has another type."""
+    value = document.get(name)
+    if not isinstance(value, dict):
+        remedy = "give a table in the settings file"
+        errors.append(SettingError(f"{name} is {value!r}", remedy))
+        return {}
+    return value
+
+
+def read_bounds(section, errors):
+    """Return the platform's bounds that the daemon keeps."""
+    values = {}
+    for name, default in BOUNDS_DEFAULT.items():
+        value = section.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            remedy = "give a number that is not negative"
+            errors.append(SettingError(f"bounds.{name} is {value!r}", remedy))
+            value = default
+        values[name] = float(value)
+    return Bounds(
+        drain_s=values["drain_s"],
+        grace_s=values["grace_s"],
+        acknowledgement_s=values["ack_s"],
+        repeat_ratio=values["retry_budget_ratio"],
+        repeat_slack=values["retry_budget_slack"],
+        repeat_window_s=values["budget_window_s"],
+        rate_window_s=values["quota_window_s"],
+        rate_overage=values["quota_overage"],
+        rate_slack=values["quota_slack"],
+        configuration_s=values["config_apply_s"],
+    )
+
+
+def decode_settings(document):
+    """Return the settings in a decoded settings file.
+
+    Parameters
+    ----------
+    document : dict
+        Content of the platform's settings file. Unknown fields are ignored.
+
+    Returns
+    -------
+    SidecarSettings
+
+    Raises
+    ------
+    ExceptionGroup
+        One ``SettingError`` for each invalid field.
+    """
+    errors = []
+    if not isinstance(document, dict):
+        document = {}
+    listen = read_section(document, "listen", errors)
+    platform = read_section(document, "platform", errors)
+    ports = document.get("internal_ports")
+    if not (isinstance(ports, list) and len(ports) == 2 and ports[1] > ports[0]):
+        remedy = "give the first and the last port"
+        errors.append(SettingError(f"internal_ports is {ports!r}", remedy))
+        ports = [0, 0]
+    heartbeat_s = document.get("heartbeat_s", 1.5)
+    settings = SidecarSettings(
+        host=read_text(document, "node_name", errors),
+        zone=read_text(document, "zone", errors),
+        address=read_text(document, "ip", errors),
+        service=read_text(document, "service", errors),
+        # The platform calls the port of callers on this machine "outbound" and
+        # leaves the use of "inbound" to the system, which serves other daemons there.
+        caller=read_endpoint(listen.get("outbound"), "listen.outbound", errors),
+        peer=read_endpoint(listen.get("inbound"), "listen.inbound", errors),
+        readiness=read_endpoint(listen.get("ready"), "listen.ready", errors),
+        heartbeats=read_endpoint(listen.get("control"), "listen.control", errors),
+        upstream=read_endpoint(document.get("app_addr"), "app_addr", errors),
+        store=read_endpoint(platform.get("address"), "platform.address", errors),
+        report_port=ports[0],
+        metrics_port=ports[0] + 1,
+        heartbeat_s=float(heartbeat_s) if heartbeat_s else 1.5,
+        bounds=read_bounds(read_section(document, "bounds", errors), errors),
+    )
+    if errors:
+        raise ExceptionGroup("invalid settings", errors)
+    return settings
+
+
+def read_settings_file(path):
+    """Return the settings in a settings file; see `decode_settings`."""
+    try:
+        document = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        remedy = "give a readable JSON file"
+        wrong = SettingError(f"settings file {path}: {error}", remedy)
+        raise ExceptionGroup("invalid settings", [wrong]) from error
+    return decode_settings(document)
--- /dev/null
+++ b/egretlift/platform/store.py
@@ -0,0 +1,209 @@
+"""Client of the platform's metadata store."""
+
+import json
+import socket
+import sys
+
+import anyio
+
+# Without the module httpx leaves its command line, and what that imports, out.
+sys.modules.setdefault("httpx._main", None)
+
+import httpx  # noqa: E402
+
+from egretlift.errors import ConflictError, PlatformUnavailable  # noqa: E402
+from egretlift.platform import names  # noqa: E402
+
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 0.6
+# Longest time that the store holds a watch without an event.
+WATCH_WAIT_S = 15.0
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2000),
+)
+REMEDY = "the daemon repeats the call; check the store if this lasts"
+
+
+class HistoryGone(Exception):
+    """The store no longer holds the changes that a watch asks for."""
+
+
+class StoredObject:
+    """An object of the store; ``spec`` is None once it was deleted."""
+
+    __slots__ = ("name", "revision", "spec")
+
+    def __init__(self, name, revision, spec):
+        self.name = name
+        self.revision = revision
+        self.spec = spec
+
+
+def decode_object(item, deleted=False):
+    """Return the object in an item of a list or an event, None if unreadable."""
+    try:
+        metadata = item["metadata"]
+        revision = int(metadata["revision"])
+        return StoredObject(
+            metadata["name"], revision, None if deleted else item["spec"]
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+class StoreClient:
+    """Connections to the store.
+
+    Every call ends within its own timeout, since the store may fall silent.
+
+    Parameters
+    ----------
+    endpoint : tuple of (str, int)
+    """
+
+    __slots__ = ("calls", "http")
+
+    def __init__(self, endpoint):
+        self.calls = 0
+        transport = httpx.AsyncHTTPTransport(
+            verify=False, trust_env=False, socket_options=SOCKET_OPTIONS
+        )
+        self.http = httpx.AsyncClient(
+            base_url=f"http://{endpoint[0]}:{endpoint[1]}",
+            timeout=None,
+            transport=transport,
+        )
+
+    async def close(self):
+        """Close all connections."""
+        await self.http.aclose()
+
+    async def send(self, method, path, body=None, query=None, wait_s=0.0):
+        """Send one call and return (status, document).
+
+        Raises
+        ------
+        PlatformUnavailable
+            There was no usable answer; a change may have been made all the same.
+        """
+        self.calls += 1
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
+                response = await self.http.request(
+                    method,
+                    path,
+                    params=query,
+                    json=body,
+                    timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+                )
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise PlatformUnavailable(
+                f"store: {type(error).__name__} on {method} {path}", REMEDY
+            ) from error
+        status = response.status_code
+        if status in (200, 201, 404, 409, 410):
+            return status, decode_document(response)
+        raise PlatformUnavailable(f"store: status {status} on {method} {path}", REMEDY)
+
+    async def list_objects(self, kind):
+        """Return (revision, objects) of a kind; the revision is where to watch from."""
+        query, objects, as_of = {}, [], None
+        while True:
+            status, document = await self.send("GET", locate(kind), query=query)
+            if status != 200 or not isinstance(document, dict):
+                raise PlatformUnavailable(f"store: no list of {kind}", REMEDY)
+            items = document.get("items") or []
+            objects.extend(found for item in items if (found := decode_object(item)))
+            # Changes between two pages are seen again by the watch.
+            as_of = document.get("as_of") if as_of is None else as_of
+            if not document.get("has_more") or not items:
+                return as_of, objects
+            query = {"after": items[-1]["metadata"]["name"]}
+
+    async def watch(self, kind, after):
+        """Return (revision, objects) that changed after a revision.
+
+        Deleted objects have no spec. The list is empty if nothing changed in time.
+
+        Raises
+        ------
+        HistoryGone
+            The objects have to be listed again.
+        PlatformUnavailable
+        """
+        query = {"watch": after, "wait_ms": int(1000 * WATCH_WAIT_S)}
+        status, document = await self.send(
+            "GET", locate(kind), query=query, wait_s=WATCH_WAIT_S
+        )
+        if status == 410:
+            raise HistoryGone
+        if status != 200 or not isinstance(document, dict):
+            raise PlatformUnavailable(f"store: no watch of {kind}", REMEDY)
+        objects = []
+        for event in document.get("events") or []:
+            found = decode_object(event.get("object"), bool(event.get("deleted")))
+            if found:
+                objects.append(found)
+        return document.get("as_of", after), objects
+
+    async def get_object(self, kind, name):
+        """Return an object, or None if there is none."""
+        status, document = await self.send("GET", f"{locate(kind)}/{name}")
+        if status == 404:
+            return None
+        return decode_object(document)
+
+    async def put_object(self, kind, name, spec, revision):
+        """Create an object, or replace the one of a revision, and return it.
+
+        Parameters
+        ----------
+        kind, name : str
+        spec : dict
+        revision : int or None
+            None creates the object.
+
+        Raises
+        ------
+        ConflictError
+            The object has another revision; ``current`` is the object or None.
+        PlatformUnavailable
+            Whether the change was made is not known.
+        """
+        metadata = {"name": name}
+        if revision is None:
+            method, path = "POST", locate(kind)
+        else:
+            method, path = "PUT", f"{locate(kind)}/{name}"
+            metadata["revision"] = revision
+        status, document = await self.send(
+            method, path, {"metadata": metadata, "spec": spec}
+        )
+        if status in (404, 409):
+            error = ConflictError(f"{kind} {name} has changed", "read it again")
+            error.current = decode_object(document) if status == 409 else None
+            raise error
+        return decode_object(document)
+
+    async def delete_object(self, kind, name, revision):
+        """Delete the object of a revision; another revision stays."""
+        await self.send(
+            "DELETE", f"{locate(kind)}/{name}", query={"revision": revision}
+        )
+
+
+def locate(kind):
+    """Return the path of a kind."""
+    return f"{names.OBJECTS_PATH}{kind}"
+
+
+def decode_document(response):
+    """Return the JSON document of an answer, None if it is damaged."""
+    try:
+        return json.loads(response.content)
+    except ValueError:
+        return None
--- a/egretlift/platform/tests/test_client.py
+++ b/egretlift/platform/tests/test_client.py
@@ -12,7 +12,7 @@
     PlatformUnavailable,
     WriteUnsettled,
 )
-from egretlift.platform import PlatformClient
+from egretlift.platform.client import PlatformClient
 from egretlift.platform.tests.fake import FakePlatform, make_app, store
 from egretlift.settings import Settings
 
--- /dev/null
+++ b/egretlift/retries/arrivals.py
@@ -0,0 +1,61 @@
+"""Budget of repeated requests, counted where they arrive.
+
+The daemon beside an upstream is the only way to it, so it counts arrivals exactly.
+Each daemon keeps the ratio for its own upstream and an equal part of the slack; the
+sum over the service then holds without messages between daemons.
+"""
+
+BINS = 10
+# Part of the ratio that is spent here. Calls made by a repeated run are repeats as
+# well, which no daemon can tell from first calls.
+RATIO_SHARE = 0.4
+SLACK_SHARE = 0.5
+
+
+class Arrivals:
+    """First and repeated arrivals in bins of a sliding window."""
+
+    __slots__ = ("bin_s", "firsts", "repeats", "start")
+
+    def __init__(self, window_s):
+        self.bin_s = window_s / BINS
+        self.start = 0
+        self.firsts = [0] * BINS
+        self.repeats = [0] * BINS
+
+
+def advance(arrivals, now):
+    """Clear the bins that the window has left and return the current one."""
+    current = int(now / arrivals.bin_s)
+    for number in range(max(arrivals.start, current - BINS) + 1, current + 1):
+        arrivals.firsts[number % BINS] = 0
+        arrivals.repeats[number % BINS] = 0
+    arrivals.start = max(arrivals.start, current)
+    return current % BINS
+
+
+def record_first(arrivals, now):
+    """Count the first arrival of a request."""
+    arrivals.firsts[advance(arrivals, now)] += 1
+
+
+def pay_repeat(arrivals, bounds, hosts, now):
+    """Count a repeated arrival and return whether it may happen.
+
+    Parameters
+    ----------
+    arrivals : Arrivals
+    bounds : Bounds
+        Ratio and slack for the whole service.
+    hosts : int
+        Daemons of the service.
+    now : float
+        Monotonic time in seconds.
+    """
+    place = advance(arrivals, now)
+    earned = RATIO_SHARE * bounds.repeat_ratio * sum(arrivals.firsts)
+    earned += SLACK_SHARE * bounds.repeat_slack / max(1, hosts)
+    if sum(arrivals.repeats) + 1 > earned:
+        return False
+    arrivals.repeats[place] += 1
+    return True
--- /dev/null
+++ b/egretlift/serving/call.py
@@ -0,0 +1,109 @@
+"""One call on its way through a daemon."""
+
+
+class Call:
+    """A request of a caller or of an upstream, after the checks.
+
+    Attributes
+    ----------
+    request_id : str
+        Identifier of the caller's attempt.
+    method, target : str
+        As received; the target has path and query.
+    headers : list of (str, str)
+        Headers that travel on to the upstream.
+    body : bytes
+    received_at, deadline : float
+        Monotonic seconds; the deadline is the caller's or the route's timeout,
+        whichever ends first.
+    route : str
+        Name of the route.
+    service : str
+        Service that runs the call.
+    organisation : str or None
+        None on open routes.
+    rank : int
+        Importance; 0 is shed last.
+    idempotent : bool
+    attempts : int
+        Upstreams that the call may reach.
+    target_s : float or None
+        Time in which an answer has its full worth.
+    caller_service : str
+        Service of the host on which the call began.
+    repeated : bool
+        Whether an upstream was reached before.
+    """
+
+    __slots__ = (
+        "attempts",
+        "body",
+        "caller_service",
+        "deadline",
+        "headers",
+        "idempotent",
+        "method",
+        "organisation",
+        "rank",
+        "received_at",
+        "repeated",
+        "request_id",
+        "route",
+        "service",
+        "target",
+        "target_s",
+    )
+
+    def __init__(self, **values):
+        self.repeated = False
+        for name, value in values.items():
+            setattr(self, name, value)
+
+
+# Fields of a call that another daemon needs, in the order of the context header.
+# The time that is left comes first and is relative, as clocks differ.
+CONTEXT_FIELDS = ("service", "caller_service", "route", "organisation")
+NONE_TEXT = "-"
+
+
+def encode_context(call, now):
+    """Return the value of the context header for another daemon.
+
+    Examples
+    --------
+    >>> call = Call(
+    ...     deadline=1.5,
+    ...     rank=2,
+    ...     service="galleries",
+    ...     caller_service="proofing",
+    ...     route="thumbs",
+    ...     organisation=None,
+    ... )
+    >>> encode_context(call, 1.0)
+    '500 2 0 galleries proofing thumbs -'
+    """
+    remaining_ms = max(0, int(1000 * (call.deadline - now)))
+    texts = [getattr(call, name) or NONE_TEXT for name in CONTEXT_FIELDS]
+    return " ".join(
+        [str(remaining_ms), str(call.rank), str(int(call.repeated)), *texts]
+    )
+
+
+def decode_context(text, now):
+    """Return the fields of a call in a context header, None if it is malformed."""
+    parts = text.split(" ")
+    if len(parts) != 3 + len(CONTEXT_FIELDS):
+        return None
+    try:
+        remaining_ms, rank, repeated = map(int, parts[:3])
+    except ValueError:
+        return None
+    values = dict(zip(CONTEXT_FIELDS, parts[3:], strict=True))
+    if values["organisation"] == NONE_TEXT:
+        values["organisation"] = None
+    return {
+        **values,
+        "deadline": now + remaining_ms / 1000,
+        "rank": rank,
+        "repeated": bool(repeated),
+    }
--- /dev/null
+++ b/egretlift/serving/execution.py
@@ -0,0 +1,134 @@
+"""Running a call on the upstream of this host."""
+
+import asyncio
+import time
+
+import anyio
+
+from egretlift.admission import slots as admission
+from egretlift.membership.upstream import may_serve
+from egretlift.outcome import Outcome
+from egretlift.retries.arrivals import pay_repeat, record_first
+from egretlift.serving.refusals import lose, refuse
+from egretlift.transport.exchange import (
+    ExchangeBroken,
+    NotSent,
+    encode_request,
+    exchange,
+)
+from egretlift.transport.messages import Answer, select_answer_headers
+
+# An upstream answers at the deadline itself; its answer needs a moment to arrive.
+ANSWER_MARGIN_S = 0.03
+SHORTEST_S = 0.005
+
+
+async def execute_here(board, call):
+    """Run a call on this host's upstream and return its answer.
+
+    ``reached`` of the answer says whether the request was sent to the upstream.
+    """
+    if not may_serve(board.upstream):
+        return refuse(board.upstream.status if board.upstream.current else "absent")
+    if call.repeated and not pay_repeat(
+        board.arrivals, board.settings.bounds, board.count_hosts(), time.monotonic()
+    ):
+        return refuse("repeat-budget")
+    started = asyncio.get_running_loop().create_future()
+
+    def notify(reason):
+        if not started.done():
+            started.set_result(reason)
+
+    ticket = admission.Ticket(call.rank, call.route, call.deadline, notify)
+    reason = admission.enter(board.slots, ticket, time.monotonic())
+    if reason:
+        return refuse(reason)
+    try:
+        if ticket.state == "waiting":
+            reason = await started
+            if reason:
+                return refuse(reason)
+        return await dispatch(board, call, ticket)
+    finally:
+        admission.abandon(board.slots, ticket, time.monotonic())
+
+
+async def dispatch(board, call, ticket):
+    """Send a call that holds a slot."""
+    upstream = board.upstream
+    now = time.monotonic()
+    remaining_s = call.deadline - now
+    if not may_serve(upstream):
+        return refuse(upstream.status)
+    if remaining_s < SHORTEST_S:
+        return refuse("deadline")
+    upstream_id = upstream.current.upstream_id
+    data = encode_request(
+        call.method,
+        call.target,
+        board.dialect.make_upstream_headers(call, upstream_id, remaining_s),
+        call.body,
+    )
+
+    def accepts(fields):
+        return board.dialect.answers_request(fields, call.request_id)
+
+    def note_arrival():
+        if not call.repeated:
+            record_first(board.arrivals, time.monotonic())
+
+    received = None
+    try:
+        with anyio.move_on_after(remaining_s + ANSWER_MARGIN_S):
+            received = await exchange(
+                board.upstream_pool,
+                board.settings.upstream,
+                call.method,
+                data,
+                accepts,
+                note_arrival,
+            )
+    except NotSent:
+        note_silence(board, upstream_id)
+        return refuse("unreachable")
+    except ExchangeBroken as error:
+        board.log("upstream-broke", call, cause=str(error))
+        return lose("upstream-broke", 502)
+    if received is None:
+        return lose("deadline", 504)
+    duration_s = time.monotonic() - now
+    answer = classify(board, received)
+    if answer.outcome is Outcome.WHOLE:
+        admission.release(board.slots, ticket, time.monotonic(), duration_s)
+    return answer
+
+
+def note_silence(board, upstream_id):
+    """Use the upstream no more until its next heartbeat."""
+    current = board.upstream.current
+    if current is None or current.upstream_id != upstream_id:
+        return
+    board.upstream.silent = True
+    board.log_change("upstream-unreachable", upstream=upstream_id)
+    admission.refuse_waiting(board.slots, "unreachable")
+    board.change_entry()
+
+
+def classify(board, received):
+    """Return the answer in what an upstream sent."""
+    dialect = board.dialect
+    if dialect.says_not_run(received.status, received.fields):
+        if received.status == 421:
+            note_silence(board, board.upstream.current.upstream_id)
+        return refuse("upstream-refused", reached=True)
+    if not dialect.is_sealed(received.fields):
+        if received.status < 500:
+            return lose("answer-not-sealed", 502)
+        return lose("upstream-failed", 502)
+    headers = select_answer_headers(received.fields_in_order())
+    outcome = Outcome.FAILED_WAS_RUN if received.status >= 500 else Outcome.WHOLE
+    answer = Answer(outcome, received.status, headers, received.body)
+    answer.reason = "upstream-failed" if received.status >= 500 else ""
+    answer.reached = True
+    return answer
--- /dev/null
+++ b/egretlift/serving/offers.py
@@ -0,0 +1,208 @@
+"""Offering a call to hosts, one after the other, until one runs it."""
+
+import time
+
+import anyio
+
+from egretlift.membership.peers import (
+    decode_load,
+    eject,
+    may_call,
+    set_load,
+)
+from egretlift.outcome import (
+    CONTEXT_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Outcome,
+)
+from egretlift.routing.nearest import (
+    Candidate,
+    add_outcome,
+    choose_candidate,
+    fade,
+)
+from egretlift.serving.call import encode_context
+from egretlift.serving.execution import execute_here
+from egretlift.serving.refusals import lose, refuse
+from egretlift.transport.exchange import (
+    ExchangeBroken,
+    NotSent,
+    encode_request,
+    exchange,
+)
+from egretlift.transport.messages import Answer, read_outcome, select_answer_headers
+
+REACHED_HEADER = "egretlift-reached"
+# Hosts to which a call is offered before it is refused.
+OFFERS_MAXIMUM = 4
+# The executing daemon answers at the deadline itself.
+ANSWER_MARGIN_S = 0.08
+# With less time left no further host is tried.
+SHORTEST_S = 0.02
+
+
+async def serve_call(board, call):
+    """Run a call on some host of its service and return its answer.
+
+    A call that has reached an upstream is offered once more only if it is
+    idempotent or certainly has not run, within the route's attempts.
+    """
+    tried, arrivals, kept = set(), 0, None
+    for _ in range(OFFERS_MAXIMUM):
+        host = choose_host(board, call, tried)
+        if host is None:
+            break
+        tried.add(host)
+        call.repeated = arrivals > 0
+        if host == board.settings.host:
+            answer = await execute_here(board, call)
+            note_own_outcome(board, answer)
+        else:
+            answer = await offer_to_peer(board, call, board.peers[host])
+        arrivals += answer.reached
+        board.log("offer", call, host=host, outcome=answer.outcome.value)
+        kept = prefer(kept, answer)
+        if not may_offer_again(call, answer, arrivals):
+            break
+    return kept or refuse("no-upstream")
+
+
+def prefer(kept, answer):
+    """Return the answer that tells the caller the truth about all offers.
+
+    A refusal after an attempt that may have run does not make the call "not run".
+    """
+    if kept is None or answer.outcome is Outcome.WHOLE:
+        return answer
+    if answer.outcome is Outcome.REFUSED_NOT_RUN and (
+        kept.outcome is not Outcome.REFUSED_NOT_RUN
+    ):
+        return kept
+    return answer
+
+
+def may_offer_again(call, answer, arrivals):
+    """Return whether a call may be offered to a further host."""
+    if answer.outcome is Outcome.WHOLE or arrivals >= call.attempts:
+        return False
+    if call.deadline - time.monotonic() < SHORTEST_S:
+        return False
+    if answer.reason == "repeat-budget":
+        return False
+    if answer.outcome is Outcome.REFUSED_NOT_RUN:
+        return True
+    return call.idempotent and answer.status != 504
+
+
+def choose_host(board, call, tried):
+    """Return the name of the host that a call is offered to, or None."""
+    now = time.monotonic()
+    settings = board.settings
+    candidates = []
+    if settings.host not in tried and board.may_execute(call.service):
+        candidates.append(
+            Candidate(
+                settings.host,
+                True,
+                board.measure_load(),
+                0.0,
+                0,
+                0,
+                fade(board.own_failed, now - board.own_failed_at),
+            )
+        )
+    for host, peer in board.peers.items():
+        if host in tried:
+            continue
+        if not may_call(peer, call.service, now, board.report_interval_s()):
+            continue
+        candidates.append(
+            Candidate(
+                host,
+                peer.entry.zone == settings.zone,
+                peer.load,
+                now - peer.load_at,
+                peer.sent,
+                peer.outstanding,
+                fade(peer.failed, now - peer.failed_at),
+            )
+        )
+    chosen = choose_candidate(candidates, board.random)
+    return chosen and chosen.host
+
+
+def is_failure(answer):
+    """Return whether an answer speaks against the host that gave it."""
+    if answer.outcome in (Outcome.UNKNOWN, Outcome.FAILED_WAS_RUN):
+        return True
+    return answer.reason == "upstream-refused"
+
+
+def note_own_outcome(board, answer):
+    """Note how a call ended on this host's upstream."""
+    if answer.reached:
+        now = time.monotonic()
+        board.own_failed = add_outcome(
+            board.own_failed, now - board.own_failed_at, is_failure(answer)
+        )
+        board.own_failed_at = now
+
+
+async def offer_to_peer(board, call, peer):
+    """Send a call to the daemon of another host and return its answer."""
+    entry = peer.entry
+    now = time.monotonic()
+    headers = [*call.headers, (CONTEXT_HEADER, encode_context(call, now))]
+    data = encode_request(call.method, call.target, headers, call.body)
+    received = None
+    peer.outstanding += 1
+    peer.sent += 1
+    try:
+        with anyio.move_on_after(call.deadline - now + ANSWER_MARGIN_S):
+            received = await exchange(
+                board.peer_pool,
+                (entry.address, entry.peer_port),
+                call.method,
+                data,
+                lambda fields: True,
+            )
+    except NotSent:
+        eject(peer, time.monotonic())
+        board.log_change("peer-unreachable", peer=entry.host)
+        return refuse("unconnected")
+    except ExchangeBroken as error:
+        eject(peer, time.monotonic())
+        board.log_change("peer-broke", peer=entry.host, cause=str(error))
+        return lose("peer-broke", 502)
+    finally:
+        peer.outstanding -= 1
+    if received is None:
+        answer = lose("deadline", 504)
+    else:
+        answer = read_peer_answer(peer, received)
+    note_outcome(peer, answer)
+    return answer
+
+
+def read_peer_answer(peer, received):
+    """Return the answer that another daemon gave and note its load."""
+    fields = received.fields
+    load = decode_load(fields.get(LOAD_HEADER))
+    if load is not None:
+        set_load(peer, load, time.monotonic())
+    headers = select_answer_headers(received.fields_in_order())
+    outcome = read_outcome(fields.get(OUTCOME_HEADER))
+    answer = Answer(outcome, received.status, headers, received.body)
+    answer.reason = fields.get(REASON_HEADER, "")
+    answer.reached = fields.get(REACHED_HEADER) != "0"
+    return answer
+
+
+def note_outcome(peer, answer):
+    """Note how a call ended at another host's upstream."""
+    if answer.reached:
+        now = time.monotonic()
+        peer.failed = add_outcome(peer.failed, now - peer.failed_at, is_failure(answer))
+        peer.failed_at = now
--- /dev/null
+++ b/egretlift/serving/routes.py
@@ -0,0 +1,145 @@
+"""Routes, organisations and the configuration that holds them."""
+
+
+class Part:
+    """A service that runs a part of a route's requests, by weight."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service, weight):
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """How requests of one domain and path prefix are handled.
+
+    Attributes
+    ----------
+    name, domain, prefix : str
+    idempotent : bool
+        Whether a request may run more than once.
+    timeout_s : float or None
+        Longest time until the final answer.
+    target_s : float or None
+        Time in which an answer has its full worth.
+    rank : int
+        Importance; 0 is shed last.
+    attempts : int
+        Upstreams to which one attempt of a caller may be sent.
+    is_open : bool
+        Whether requests need no key.
+    parts : tuple of Part
+    """
+
+    __slots__ = (
+        "attempts",
+        "domain",
+        "idempotent",
+        "is_open",
+        "name",
+        "parts",
+        "prefix",
+        "rank",
+        "target_s",
+        "timeout_s",
+    )
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class Organisation:
+    """An organisation with its keys, rank and rate.
+
+    ``rank`` is None where the rank of the route counts; ``rate`` is in requests a
+    second, 0 for no limit, and ``burst`` in requests.
+    """
+
+    __slots__ = ("burst", "keys", "name", "rank", "rate")
+
+    def __init__(self, name, keys, rank, rate, burst):
+        self.name = name
+        self.keys = keys
+        self.rank = rank
+        self.rate = rate
+        self.burst = burst
+
+
+class Configuration:
+    """One version of the configuration, indexed for requests.
+
+    ``document`` is the configuration as the operators wrote it, which other daemons
+    get on request.
+    """
+
+    __slots__ = (
+        "body_bytes",
+        "document",
+        "domains",
+        "keys",
+        "organisations",
+        "version",
+    )
+
+    def __init__(self, version, routes, organisations, body_bytes, document):
+        self.version = version
+        self.document = document
+        self.body_bytes = body_bytes or None
+        self.organisations = {item.name: item for item in organisations}
+        self.keys = {key: item for item in organisations for key in item.keys}
+        self.domains = {}
+        for route in routes:
+            self.domains.setdefault(route.domain, []).append(route)
+        for found in self.domains.values():
+            found.sort(key=lambda route: -len(route.prefix))
+
+
+def find_route(configuration, domain, path):
+    """Return the route of a request, the one with the longest prefix, or None.
+
+    Examples
+    --------
+    >>> short, long = (
+    ...     Route(
+    ...         name=prefix,
+    ...         domain="a.example",
+    ...         prefix=prefix,
+    ...         idempotent=True,
+    ...         timeout_s=None,
+    ...         target_s=None,
+    ...         rank=0,
+    ...         attempts=1,
+    ...         is_open=False,
+    ...         parts=(),
+    ...     )
+    ...     for prefix in ("/a/", "/a/b/")
+    ... )
+    >>> configuration = Configuration(1, [short, long], [], None, {})
+    >>> find_route(configuration, "A.example:80", "/a/b/c").name
+    '/a/b/'
+    >>> find_route(configuration, "a.example", "/ab/") is None
+    True
+    """
+    domain = domain.lower()
+    routes = configuration.domains.get(domain)
+    if routes is None:
+        routes = configuration.domains.get(domain.rpartition(":")[0], ())
+    for route in routes:
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def choose_part(route, random):
+    """Return the service that is to run a request, drawn by weight."""
+    parts = route.parts
+    if len(parts) == 1:
+        return parts[0].service
+    point = random.random() * sum(part.weight for part in parts)
+    for part in parts:
+        point -= part.weight
+        if point < 0:
+            return part.service
+    return parts[-1].service
--- /dev/null
+++ b/egretlift/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside an upstream on the users' platform."""
--- /dev/null
+++ b/egretlift/sidecar/__main__.py
@@ -0,0 +1,5 @@
+"""Run the sidecar daemon."""
+
+from egretlift.sidecar.main import main
+
+main()
--- /dev/null
+++ b/egretlift/sidecar/board.py
@@ -0,0 +1,226 @@
+"""The blackboard of a sidecar daemon, which its controllers read and write."""
+
+import random
+import secrets
+import time
+
+import anyio
+
+from egretlift.admission.slots import Slots, expected_wait_s
+from egretlift.events import record_event
+from egretlift.membership.peers import HostEntry, Load, learn_stored
+from egretlift.membership.upstream import UpstreamState, may_serve
+from egretlift.quotas.demand import fill, share_of
+from egretlift.retries.arrivals import Arrivals
+from egretlift.transport.exchange import Pool
+
+# Lines a second for each kind of decision; further ones are counted.
+LINES_PER_SECOND = 20
+# With many hosts reports are sent less often, so that their number stays bounded.
+REPORTS_PER_SECOND = 200
+
+
+class Board:
+    """State of one sidecar daemon.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+    dialect : module
+        Names of headers on the wire; see `egretlift.platform.requests`.
+    store : StoreClient
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        The version in force.
+    configuration_seen_at : float
+        Monotonic time at which the version came into force.
+    peers : dict of str to Peer
+        Other hosts by name.
+    buckets : dict of str to RateBucket
+        Tokens by organisation.
+    own_failed : float
+        Decaying part of calls that failed at this host's upstream.
+    open_requests : int
+        Requests that were read and not answered yet.
+    """
+
+    __slots__ = (
+        "arrivals",
+        "boot",
+        "buckets",
+        "configuration",
+        "configuration_seen_at",
+        "counter",
+        "counter_stored",
+        "counters",
+        "demand_at",
+        "dialect",
+        "entry_changed",
+        "entry_stored",
+        "fetch_due",
+        "fetch_from",
+        "histograms",
+        "hosts_listed",
+        "lines",
+        "open_requests",
+        "own_failed",
+        "own_failed_at",
+        "own_revision",
+        "peer_pool",
+        "peers",
+        "random",
+        "report_due",
+        "settings",
+        "slots",
+        "stopping",
+        "store",
+        "store_ok",
+        "tasks",
+        "upstream",
+        "upstream_pool",
+    )
+
+    def __init__(self, settings, dialect, store):
+        self.settings = settings
+        self.dialect = dialect
+        self.store = store
+        self.store_ok = None
+        self.random = random.Random()
+        self.boot = secrets.token_hex(4)
+        self.counter = 0
+        self.configuration = None
+        self.configuration_seen_at = 0.0
+        self.upstream = UpstreamState()
+        self.slots = Slots()
+        self.arrivals = Arrivals(settings.bounds.repeat_window_s)
+        self.peers = {}
+        self.buckets = {}
+        self.upstream_pool = Pool()
+        self.peer_pool = Pool()
+        self.own_failed = 0.0
+        self.own_failed_at = 0.0
+        self.own_revision = None
+        self.open_requests = 0
+        self.stopping = False
+        self.counters = {}
+        self.histograms = {}
+        self.lines = {}
+        self.entry_changed = anyio.Event()
+        self.entry_stored = anyio.Event()
+        self.counter_stored = -1
+        self.report_due = anyio.Event()
+        self.hosts_listed = anyio.Event()
+        self.fetch_due = anyio.Event()
+        self.fetch_from = set()
+        self.demand_at = time.monotonic()
+        self.tasks = None
+
+    def count(self, name, label=""):
+        """Add one to a counter."""
+        key = (name, label)
+        self.counters[key] = self.counters.get(key, 0) + 1
+
+    def log(self, kind, call, **fields):
+        """Write a line for a decision on a call, up to a number a second."""
+        second = int(time.monotonic())
+        line = self.lines.get(kind)
+        if line is None or line[0] != second:
+            left_out = line[1] - LINES_PER_SECOND if line else 0
+            line = self.lines[kind] = [second, 0]
+            if left_out > 0:
+                fields["left_out"] = left_out
+        line[1] += 1
+        if line[1] > LINES_PER_SECOND:
+            self.count("lines_left_out", kind)
+            return
+        if call is not None:
+            remaining_ms = round(1000 * (call.deadline - time.monotonic()))
+            fields = {
+                "id": call.request_id,
+                "route": call.route,
+                "service": call.service,
+                "organisation": call.organisation or "-",
+                "remaining_ms": remaining_ms,
+                **fields,
+            }
+        record_event(kind, **fields)
+
+    def log_change(self, kind, **fields):
+        """Write a line for a change of what the daemon believes."""
+        self.log(kind, None, **fields)
+
+    def change_entry(self):
+        """Publish that the upstream or the daemon's own state has changed."""
+        self.counter += 1
+        self.entry_changed.set()
+        self.report_due.set()
+
+    def make_entry(self):
+        """Return what this daemon says of its host and upstream."""
+        settings, state = self.settings, self.upstream
+        current = state.current
+        status = "absent" if state.silent else state.status
+        return HostEntry(
+            host=settings.host,
+            zone=settings.zone,
+            service=settings.service,
+            address=settings.address,
+            peer_port=settings.peer[1],
+            report_port=settings.report_port,
+            upstream_id=current.upstream_id if current else "",
+            state=status,
+            born=current.born if current else 0,
+            sequence=current.sequence if current else 0,
+            slots=current.slots if current else 0,
+            boot=self.boot,
+            counter=self.counter,
+            stopping=self.stopping,
+        )
+
+    def measure_load(self):
+        """Return the load of this host's upstream."""
+        slots = self.slots
+        return Load(slots.running, slots.limit, len(slots.waiting), slots.duration_s)
+
+    def expected_wait_s(self, rank):
+        """Return the seconds that a call of a rank would wait here."""
+        return expected_wait_s(self.slots, rank)
+
+    def may_execute(self, service):
+        """Return whether this host's upstream can run calls of a service."""
+        return service == self.settings.service and may_serve(self.upstream)
+
+    def count_hosts(self):
+        """Return the number of known hosts of this service, this one included."""
+        service = self.settings.service
+        return 1 + sum(peer.entry.service == service for peer in self.peers.values())
+
+    def learn_host(self, entry):
+        """Take in a host that another daemon knows."""
+        learn_stored(self.peers, entry, 0, time.monotonic(), self.report_interval_s())
+
+    def fill_bucket(self, organisation, bucket):
+        """Add the tokens that this host's part of a rate has earned."""
+        name = organisation.name
+        others = [
+            peer.report.demand.get(name, 0.0) if peer.report else 0.0
+            for peer in self.peers.values()
+        ]
+        hosts = 1 + len(others)
+        share = share_of(bucket.reported, others, hosts, organisation.rate)
+        fill(
+            bucket,
+            time.monotonic(),
+            organisation.rate,
+            organisation.burst,
+            share,
+            self.settings.bounds,
+        )
+
+    def report_interval_s(self):
+        """Return the seconds between two reports of a host."""
+        return max(
+            self.settings.report_interval_s, len(self.peers) / REPORTS_PER_SECOND
+        )
--- /dev/null
+++ b/egretlift/sidecar/bodies.py
@@ -0,0 +1,35 @@
+"""Request bodies, held whole so that a call can be offered to several hosts."""
+
+from egretlift.serving.checks import fail
+from egretlift.transport.messages import (
+    BodyCutShort,
+    BodyTooLarge,
+    BodyTooSlow,
+    RequestBody,
+    hold_body,
+)
+
+BODY_BYTES_MAXIMUM = 16 * 1024 * 1024
+BODY_GAP_S = 5.0
+
+
+async def read_body(request, limit=None):
+    """Return the whole body of a request.
+
+    Raises
+    ------
+    CheckFailed
+        The body is too large, too slow or cut short.
+    """
+    if not request.body_exists:
+        return b""
+    body = RequestBody(request, BODY_GAP_S)
+    try:
+        await hold_body(body, min(limit or BODY_BYTES_MAXIMUM, BODY_BYTES_MAXIMUM))
+    except BodyTooLarge:
+        fail("body-too-large", 413, "send a smaller body")
+    except BodyTooSlow:
+        fail("body-too-slow", 408, "send the body without long pauses")
+    except BodyCutShort:
+        fail("body-cut-short", 400, "send the whole announced body")
+    return body.data
--- /dev/null
+++ b/egretlift/sidecar/callers.py
@@ -0,0 +1,109 @@
+"""The port of callers on this host: its clients and its own upstream."""
+
+import time
+
+from egretlift.outcome import Outcome
+from egretlift.quotas.demand import RateBucket, draw
+from egretlift.serving import checks
+from egretlift.serving.call import Call
+from egretlift.serving.offers import serve_call
+from egretlift.serving.refusals import choose_return_s, refuse
+from egretlift.sidecar.bodies import read_body
+from egretlift.sidecar.delivery import deliver
+from egretlift.sidecar.metrics import make_histogram, observe
+
+# A caller that gives up hears nothing; the answer leaves this much earlier.
+CALLER_MARGIN_S = 0.03
+
+
+async def handle_caller(board, request):
+    """Answer one request of a caller."""
+    board.open_requests += 1
+    started = time.monotonic()
+    call = None
+    try:
+        try:
+            call = await receive_caller(board, request, started)
+            answer = await carry(board, call)
+        except checks.CheckFailed as error:
+            answer = refuse(error.refusal.reason, error.refusal.status)
+        note_answer(board, call, answer, time.monotonic() - started)
+        retry_after_s = None
+        if answer.outcome is Outcome.REFUSED_NOT_RUN and answer.status in (429, 503):
+            retry_after_s = choose_return_s(answer.reason, board.random)
+        request_id = board.dialect.read_request_id(request.headers)
+        return await deliver(board, request, answer, request_id, retry_after_s)
+    finally:
+        board.open_requests -= 1
+
+
+def note_answer(board, call, answer, duration_s):
+    """Count an answer and log it."""
+    board.count("answers", f"{answer.outcome.value}/{answer.reason or 'ok'}")
+    histogram = board.histograms.setdefault("request_seconds", make_histogram())
+    observe(histogram, duration_s)
+    kind = "answered" if answer.outcome is Outcome.WHOLE else "not-whole"
+    version = board.configuration.version if board.configuration else 0
+    board.log(
+        kind,
+        call,
+        status=answer.status,
+        outcome=answer.outcome.value,
+        reason=answer.reason,
+        version=version,
+        duration_ms=round(1000 * duration_s),
+    )
+
+
+async def receive_caller(board, request, started):
+    """Return the call in a request of a caller."""
+    dialect, configuration = board.dialect, board.configuration
+    headers = request.headers
+    target = request.message.path
+    route = checks.resolve(
+        configuration, headers.get("Host", ""), target.partition("?")[0]
+    )
+    organisation = checks.authenticate(configuration, route, dialect.read_key(headers))
+    request_id = dialect.read_request_id(headers)
+    if request_id is None:
+        checks.fail("no-request-id", 400, "send a request id")
+    waits_s = dialect.read_deadline_s(headers)
+    body = await read_body(request, configuration.body_bytes)
+    if waits_s is not None:
+        waits_s = max(0.0, waits_s - CALLER_MARGIN_S)
+    return Call(
+        request_id=request_id,
+        method=request.method,
+        target=target,
+        headers=dialect.select_headers(headers),
+        body=body,
+        received_at=started,
+        deadline=checks.find_deadline(started, route, waits_s),
+        route=route.name,
+        service=checks.choose_service(route, board.random),
+        organisation=organisation.name if organisation else None,
+        rank=checks.rank_of(route, organisation),
+        idempotent=route.idempotent,
+        attempts=route.attempts,
+        target_s=route.target_s,
+        caller_service=board.settings.service,
+    )
+
+
+async def carry(board, call):
+    """Check the organisation's rate and run the call."""
+    if call.organisation and not draw_token(board, call.organisation):
+        return refuse("rate", 429)
+    return await serve_call(board, call)
+
+
+def draw_token(board, name):
+    """Take a token of an organisation's rate and return whether there was one."""
+    organisation = board.configuration.organisations.get(name)
+    if organisation is None or not organisation.rate:
+        return True
+    bucket = board.buckets.get(name)
+    if bucket is None:
+        bucket = board.buckets[name] = RateBucket(time.monotonic())
+    board.fill_bucket(organisation, bucket)
+    return draw(bucket)
--- /dev/null
+++ b/egretlift/sidecar/heartbeats.py
@@ -0,0 +1,79 @@
+"""The ports of the platform: heartbeats of the upstream, and readiness."""
+
+import time
+
+import anyio
+from aiohttp import web
+
+from egretlift.admission.slots import refuse_waiting, resize
+from egretlift.errors import AnnouncementInvalid
+from egretlift.membership.upstream import accept_announcement, leave
+from egretlift.platform.heartbeats import decode_heartbeat
+from egretlift.platform.names import READINESS_PATH, UPSTREAMS_PATH
+
+# An acknowledgement waits this long for the store to keep that an upstream leaves.
+STORE_WAIT_S = 0.6
+HEARTBEAT_BYTES = 65536
+
+
+async def handle_readiness(board, request):
+    """Say whether the daemon takes callers."""
+    if request.message.path != READINESS_PATH:
+        return web.Response(status=404)
+    ready = board.configuration is not None and not board.stopping
+    return web.Response(status=200 if ready else 503)
+
+
+async def handle_heartbeat(board, request):
+    """Take in a heartbeat or the leave of the upstream."""
+    path = request.message.path
+    if not path.startswith(UPSTREAMS_PATH):
+        return web.Response(status=404)
+    upstream_id = path[len(UPSTREAMS_PATH) :]
+    if request.method == "DELETE":
+        left = leave(board.upstream, upstream_id)
+        board.log_change("upstream-left", upstream=upstream_id, current=left)
+        if left:
+            await close_upstream(board, "gone")
+        return web.json_response({})
+    if request.method != "PUT":
+        return web.Response(status=405)
+    try:
+        announcement = decode_heartbeat(upstream_id, await request.read())
+    except AnnouncementInvalid as error:
+        board.log_change("heartbeat-invalid", upstream=upstream_id, cause=str(error))
+        return web.json_response({"error": str(error)}, status=400)
+    await take_announcement(board, announcement)
+    return web.json_response({})
+
+
+async def take_announcement(board, announcement):
+    """Update the upstream from a heartbeat."""
+    state = board.upstream
+    was_silent = state.silent
+    now = time.monotonic()
+    changed = accept_announcement(state, announcement, board.settings.service, now)
+    if not changed and state.silent == was_silent:
+        return
+    board.log_change(
+        "upstream-changed",
+        upstream=announcement.upstream_id,
+        state=state.status,
+        born=announcement.born,
+        sequence=announcement.sequence,
+    )
+    if state.status == "draining":
+        await close_upstream(board, "draining")
+        return
+    resize(board.slots, announcement.slots)
+    board.change_entry()
+
+
+async def close_upstream(board, reason):
+    """Send the upstream nothing more, and try to have the store keep that."""
+    refuse_waiting(board.slots, reason)
+    board.change_entry()
+    wanted = board.counter
+    with anyio.move_on_after(STORE_WAIT_S):
+        while board.counter_stored < wanted:
+            await board.entry_stored.wait()
--- /dev/null
+++ b/egretlift/sidecar/metrics.py
@@ -0,0 +1,78 @@
+"""Counters and latency histograms on the metrics address."""
+
+from aiohttp import web
+from aioprometheus import Counter, Gauge, Registry, render
+
+METRICS_PATH = "/metrics"
+# Upper bounds of the buckets of the latency histogram, in seconds.
+BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, float("inf"))
+HELP = {
+    "answers": "Answers given, by outcome and reason",
+    "lines_left_out": "Log lines left out because of their number, by kind",
+    "store_calls": "Calls to the store",
+    "upstream_connections": "Connections opened to the upstream",
+}
+
+
+def make_histogram():
+    """Return the empty buckets of a histogram and its sum."""
+    return [0] * len(BUCKETS_S) + [0.0]
+
+
+def observe(histogram, value_s):
+    """Count a duration in a histogram."""
+    for place, bound in enumerate(BUCKETS_S):
+        if value_s <= bound:
+            histogram[place] += 1
+            break
+    histogram[-1] += value_s
+
+
+def add_histogram(registry, name, histogram):
+    """Add the cumulative buckets of a histogram to a registry."""
+    buckets = Counter(f"{name}_bucket", "Requests by duration", registry=registry)
+    total = 0
+    for bound, number in zip(BUCKETS_S, histogram, strict=False):
+        total += number
+        buckets.set({"le": "+Inf" if bound == float("inf") else str(bound)}, total)
+    Counter(f"{name}_count", "Requests", registry=registry).set({}, total)
+    Counter(f"{name}_sum", "Seconds", registry=registry).set({}, histogram[-1])
+
+
+def collect(board):
+    """Return a registry with the values of this moment."""
+    registry = Registry()
+    counters = {}
+    board.counters[("store_calls", "")] = board.store.calls
+    board.counters[("upstream_connections", "")] = board.upstream_pool.opened
+    for (name, label), value in board.counters.items():
+        if name not in counters:
+            text = HELP.get(name, name)
+            counters[name] = Counter(f"egretlift_{name}_total", text, registry=registry)
+        counters[name].set({"label": label}, value)
+    load = board.measure_load()
+    gauges = {
+        "running": load.running,
+        "limit": load.limit,
+        "queued": load.queued,
+        "peers": len(board.peers),
+        "open_requests": board.open_requests,
+        "configuration_version": board.configuration.version
+        if board.configuration
+        else 0,
+        "store_served": int(bool(board.store_ok)),
+    }
+    for name, value in gauges.items():
+        gauge = Gauge(f"egretlift_{name}", f"Current {name}", registry=registry)
+        gauge.set({}, value)
+    for name, histogram in board.histograms.items():
+        add_histogram(registry, f"egretlift_{name}", histogram)
+    return registry
+
+
+async def handle_metrics(board, request):
+    """Answer with the metrics as text."""
+    if request.message.path != METRICS_PATH:
+        return web.Response(status=404)
+    body, _ = render(collect(board), [])
+    return web.Response(body=body, headers={"Content-Type": "text/plain"})
--- /dev/null
+++ b/egretlift/sidecar/settings.py
@@ -0,0 +1,93 @@
+"""Settings of a sidecar daemon and the bounds that it keeps."""
+
+REPORT_INTERVAL_S = 0.5
+
+
+class Bounds:
+    """Figures that the platform's operators promise to their users.
+
+    Attributes
+    ----------
+    drain_s : float
+        Time after an acknowledged drain in which requests may still arrive.
+    grace_s : float
+        Time between the signal to stop and the kill.
+    acknowledgement_s : float
+        Time in which a draining upstream needs its acknowledgement.
+    repeat_ratio, repeat_slack, repeat_window_s : float
+        Arrivals at a service beyond the first of each request, in a window: at most
+        the ratio of its requests, plus the slack.
+    rate_window_s, rate_overage, rate_slack : float
+        Window in which an organisation's rate is judged, in seconds; part by which
+        it may be exceeded; and requests on top.
+    configuration_s : float
+        Time in which a configuration must be in force.
+    """
+
+    __slots__ = (
+        "acknowledgement_s",
+        "configuration_s",
+        "drain_s",
+        "grace_s",
+        "rate_overage",
+        "rate_slack",
+        "rate_window_s",
+        "repeat_ratio",
+        "repeat_slack",
+        "repeat_window_s",
+    )
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
+
+
+class SidecarSettings:
+    """Addresses, place and bounds of one sidecar daemon.
+
+    Endpoints are (address, port) pairs.
+
+    Attributes
+    ----------
+    host, zone, address, service : str
+        Name of the host, its availability zone and address, and the service of
+        its upstream.
+    caller, peer, readiness, heartbeats : tuple of (str, int)
+        Where callers on the host, other daemons, the readiness check and the
+        upstream's heartbeats arrive.
+    upstream, store : tuple of (str, int)
+        Where the upstream and the platform's store are reached.
+    report_port, metrics_port : int
+        UDP port for the reports of other daemons, TCP port for metrics.
+    heartbeat_s, report_interval_s : float
+        Time between two heartbeats of the upstream and between two reports to
+        another daemon, in seconds.
+    """
+
+    __slots__ = (
+        "address",
+        "bounds",
+        "caller",
+        "header_timeout_s",
+        "heartbeat_s",
+        "heartbeats",
+        "host",
+        "metrics_port",
+        "peer",
+        "readiness",
+        "report_interval_s",
+        "report_port",
+        "service",
+        "store",
+        "upstream",
+        "zone",
+    )
+
+    def __init__(
+        self, report_interval_s=REPORT_INTERVAL_S, header_timeout_s=10.0, **values
+    ):
+        self.report_interval_s = report_interval_s
+        self.header_timeout_s = header_timeout_s
+        for name in self.__slots__:
+            if name in values:
+                setattr(self, name, values[name])
--- a/egretlift/transport/messages.py
+++ b/egretlift/transport/messages.py
@@ -140,7 +140,8 @@
     ``body`` holds the whole body; if it is None the body is still on
     ``response``. ``finish`` is called once with whether the body was whole.
     ``deeper`` says that a failure was caused by a call further down the chain, and
-    ``refused_deeper`` that such a call was refused for load.
+    ``refused_deeper`` that such a call was refused for load. ``reached`` says whether
+    the request was sent to an upstream.
     """
 
     __slots__ = (
@@ -150,6 +151,7 @@
         "headers",
         "load",
         "outcome",
+        "reached",
         "reason",
         "refused_deeper",
         "response",
@@ -169,6 +171,7 @@
         self.refused_deeper = False
         self.load = None
         self.finish = None
+        self.reached = False
 
 
 def answer_refusal(refusal, detail=""):
@@ -251,3 +254,10 @@
         return Outcome(text)
     except ValueError:
         return Outcome.UNKNOWN
+
+
+def fill_headers(response, headers, skip=""):
+    """Add headers to a response, keeping repeated ones."""
+    for name, value in headers:
+        if name.lower() != skip:
+            response.headers.add(name, value)
