Lend tokens of an organisation's rate between hosts

Cause: parts of small rates hold one token or less, so arrivals that vary are refused although the rate is not used up. The tolerance of the bound is used for the distribution.

--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -119,8 +119,9 @@
 
     Attributes
     ----------
-    demand : dict of str to float
-        Requests a second of each organisation that arrive at the host.
+    demand : dict of str to (float, float)
+        By organisation, the requests a second that arrive at the host and the
+        tokens that it has.
     version : int
         Configuration in force, 0 for none.
     levels : list of float
@@ -165,7 +166,10 @@
     """
     try:
         values, number, version, load, demand, level, calls = json.loads(data)
-        demand = {str(name): float(value) for name, value in demand.items()}
+        demand = {
+            str(name): (float(arriving), float(tokens))
+            for name, (arriving, tokens) in demand.items()
+        }
         number, version = int(number), int(version)
         level = None if level is None else float(level)
         calls = {
--- a/egretlift/quotas/demand.py
+++ b/egretlift/quotas/demand.py
@@ -1,15 +1,23 @@
-"""Shares of an organisation's rate by the demand that each host reports.
+"""Parts of an organisation's rate by the demand that each host reports.
 
 Every daemon reports the demand that it sees, and uses the part of the rate that its
 own reported demand has in the sum of the latest reports. A host that is not heard
 keeps its part, since it goes on using it; so the sum of the parts stays within the
 rate without a message that has to be answered.
+
+Parts of small rates are small against the variation of arrivals. A host that is
+short therefore borrows tokens that another host has and does not need now; a lost
+answer loses the tokens, so that they are never used twice.
 """
 
 # Weight of a host without demand, as a part of the rate: it can start to serve.
 IDLE_WEIGHT = 0.01
-# Part of the permitted overage that is used.
-OVERAGE_SHARE = 0.5
+# Part of the tolerance for rates over all hosts that is used.
+TOLERANCE_SHARE = 0.9
+# Tokens that a borrower asks for: the demand of this time, at least one.
+BORROWED_DEMAND_S = 0.5
+# After a fruitless attempt an organisation's tokens are not asked for again so soon.
+BORROW_PAUSE_S = 0.1
 DEMAND_SMOOTHING_S = 1.0
 
 
@@ -25,9 +33,18 @@
         Requests since the demand was last smoothed.
     reported : float
         Demand that this host reported last.
+    borrow_after : float
+        Monotonic time before which no tokens are borrowed.
     """
 
-    __slots__ = ("counted", "demand", "filled_at", "reported", "tokens")
+    __slots__ = (
+        "borrow_after",
+        "counted",
+        "demand",
+        "filled_at",
+        "reported",
+        "tokens",
+    )
 
     def __init__(self, now):
         self.tokens = 0.0
@@ -35,6 +52,7 @@
         self.counted = 0
         self.reported = 0.0
         self.filled_at = now
+        self.borrow_after = now
 
 
 def share_of(own, others, hosts, rate):
@@ -61,26 +79,54 @@
 
 
 def fill(bucket, now, rate, burst, share, bounds):
-    """Add the tokens of the time that has passed."""
-    allowed = rate * (1 + OVERAGE_SHARE * bounds.rate_overage) * share
-    capacity = max(1.0, burst * share)
+    """Add the tokens of the time that has passed.
+
+    Over all hosts, tokens and capacity add up to what the bounds allow in a window.
+    """
+    factor = 1 + TOLERANCE_SHARE * bounds.rate_overage
+    slack = TOLERANCE_SHARE * bounds.rate_slack
+    capacity = (burst * factor + slack) * share
     elapsed_s = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
-    bucket.tokens = min(capacity, bucket.tokens + allowed * elapsed_s)
+    earned = rate * factor * share * elapsed_s
+    # Borrowed tokens may exceed the capacity; they only are not added to.
+    bucket.tokens = max(bucket.tokens, min(capacity, bucket.tokens + earned))
 
 
 def draw(bucket):
     """Take a token and return whether there was one."""
-    bucket.counted += 1
     if bucket.tokens < 1.0:
         return False
     bucket.tokens -= 1.0
     return True
 
 
+def wanted_tokens(bucket):
+    """Return how many tokens a host that is short asks for."""
+    return max(1.0, BORROWED_DEMAND_S * bucket.demand)
+
+
+def lend(bucket, wanted):
+    """Give tokens to another host and return how many.
+
+    Half of the tokens stay, as this host has demand of its own.
+
+    Examples
+    --------
+    >>> bucket = RateBucket(0.0)
+    >>> bucket.tokens = 5.0
+    >>> lend(bucket, 4.0), bucket.tokens
+    (2.5, 2.5)
+    """
+    given = min(wanted, bucket.tokens / 2)
+    bucket.tokens -= given
+    return given
+
+
 def smooth_demand(bucket, elapsed_s):
     """Update the demand after some time, and return it."""
     if elapsed_s > 0:
+        # Requests that find no token are demand as well.
         part = min(1.0, elapsed_s / DEMAND_SMOOTHING_S)
         bucket.demand += part * (bucket.counted / elapsed_s - bucket.demand)
         bucket.counted = 0
--- a/egretlift/serving/checks.py
+++ b/egretlift/serving/checks.py
@@ -3,6 +3,9 @@
 from egretlift.outcome import Refusal
 from egretlift.serving.routes import choose_part, find_route
 
+# Ranks of a route, below which an organisation's rank comes.
+RANKS = 10
+
 
 class CheckFailed(Exception):
     """A request that is answered without running; carries its ``Refusal``."""
@@ -38,10 +41,23 @@
 
 
 def rank_of(route, organisation):
-    """Return the rank of a request; that of an organisation goes before a route's."""
-    if organisation is None or organisation.rank is None:
-        return route.rank
-    return organisation.rank
+    """Return the rank of a request; that of an organisation goes before a route's.
+
+    Calls of upstreams are on open routes. They go before requests of callers, whose
+    work they complete.
+
+    Examples
+    --------
+    >>> from egretlift.serving.routes import Organisation, Route
+    >>> route = Route.__new__(Route)
+    >>> route.rank = 2
+    >>> rank_of(route, None), rank_of(route, Organisation("n", (), 1, 0, 0))
+    (2, 22)
+    """
+    if organisation is None:
+        return min(route.rank, RANKS - 1)
+    rank = route.rank if organisation.rank is None else organisation.rank
+    return RANKS * (1 + rank) + min(route.rank, RANKS - 1)
 
 
 def find_deadline(received_at, route, waits_s):
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -62,7 +62,7 @@
         else:
             answer = await offer_to_peer(board, call, board.peers[host])
         arrivals += answer.reached
-        board.log("offer", call, host=host, outcome=answer.outcome.value)
+        board.log("offer", call, target=host, outcome=answer.outcome.value)
         kept = prefer(kept, answer)
         if not may_offer_again(call, answer, arrivals):
             break
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -8,9 +8,9 @@
 
 from egretlift.admission.slots import Slots, expected_wait_s
 from egretlift.events import record_event
-from egretlift.membership.peers import HostEntry, Load, learn_stored
+from egretlift.membership.peers import HostEntry, Load, is_heard, learn_stored
 from egretlift.membership.upstream import UpstreamState, may_serve
-from egretlift.quotas.demand import fill, share_of
+from egretlift.quotas.demand import RateBucket, fill, share_of
 from egretlift.retries.arrivals import Arrivals
 from egretlift.transport.exchange import Pool
 
@@ -40,6 +40,8 @@
         Other hosts by name.
     buckets : dict of str to RateBucket
         Tokens by organisation.
+    borrowing : dict of str to Event
+        Set when the borrowing of an organisation's tokens that is under way ends.
     own_failed : float
         Decaying part of calls that failed at this host's upstream.
     open_requests : int
@@ -49,6 +51,7 @@
     __slots__ = (
         "arrivals",
         "boot",
+        "borrowing",
         "buckets",
         "configuration",
         "configuration_seen_at",
@@ -97,6 +100,7 @@
         self.arrivals = Arrivals(settings.bounds.repeat_window_s)
         self.peers = {}
         self.buckets = {}
+        self.borrowing = {}
         self.upstream_pool = Pool()
         self.peer_pool = Pool()
         self.own_failed = 0.0
@@ -197,15 +201,28 @@
         service = self.settings.service
         return 1 + sum(peer.entry.service == service for peer in self.peers.values())
 
+    def is_heard(self, peer):
+        """Return whether reports of a host arrive."""
+        return is_heard(peer, time.monotonic(), self.report_interval_s())
+
     def learn_host(self, entry):
         """Take in a host that another daemon knows."""
         learn_stored(self.peers, entry, 0, time.monotonic(), self.report_interval_s())
 
+    def find_bucket(self, organisation):
+        """Return the filled bucket of an organisation that has a rate."""
+        bucket = self.buckets.get(organisation.name)
+        if bucket is None:
+            bucket = RateBucket(time.monotonic())
+            self.buckets[organisation.name] = bucket
+        self.fill_bucket(organisation, bucket)
+        return bucket
+
     def fill_bucket(self, organisation, bucket):
         """Add the tokens that this host's part of a rate has earned."""
         name = organisation.name
         others = [
-            peer.report.demand.get(name, 0.0) if peer.report else 0.0
+            peer.report.demand.get(name, (0.0, 0.0))[0] if peer.report else 0.0
             for peer in self.peers.values()
         ]
         hosts = 1 + len(others)
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -3,7 +3,6 @@
 import time
 
 from egretlift.outcome import Outcome
-from egretlift.quotas.demand import RateBucket, draw
 from egretlift.serving import checks
 from egretlift.serving.call import Call
 from egretlift.serving.offers import serve_call
@@ -11,6 +10,7 @@
 from egretlift.sidecar.bodies import read_body
 from egretlift.sidecar.delivery import deliver
 from egretlift.sidecar.metrics import make_histogram, observe
+from egretlift.sidecar.tokens import take_token
 
 # A caller that gives up hears nothing; the answer leaves this much earlier.
 CALLER_MARGIN_S = 0.03
@@ -92,18 +92,6 @@
 
 async def carry(board, call):
     """Check the organisation's rate and run the call."""
-    if call.organisation and not draw_token(board, call.organisation):
+    if call.organisation and not await take_token(board, call.organisation):
         return refuse("rate", 429)
     return await serve_call(board, call)
-
-
-def draw_token(board, name):
-    """Take a token of an organisation's rate and return whether there was one."""
-    organisation = board.configuration.organisations.get(name)
-    if organisation is None or not organisation.rate:
-        return True
-    bucket = board.buckets.get(name)
-    if bucket is None:
-        bucket = board.buckets[name] = RateBucket(time.monotonic())
-    board.fill_bucket(organisation, bucket)
-    return draw(bucket)
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -60,7 +60,7 @@
         upstream=announcement.upstream_id,
         state=state.status,
         born=announcement.born,
-        sequence=announcement.sequence,
+        beat=announcement.sequence,
     )
     if state.status == "draining":
         await close_upstream(board, "draining")
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -18,14 +18,18 @@
 from egretlift.serving.refusals import refuse
 from egretlift.sidecar.bodies import read_body
 from egretlift.sidecar.delivery import deliver
+from egretlift.sidecar.tokens import TOKENS_PATH, lend_tokens
 
 STATE_PATH = "/egretlift/in-force"
 
 
 async def handle_peer(board, request):
     """Answer one request of another daemon."""
-    if request.message.path == STATE_PATH:
+    target = request.message.path
+    if target == STATE_PATH:
         return answer_in_force(board)
+    if target.startswith(TOKENS_PATH):
+        return web.json_response({"tokens": lend_tokens(board, target)})
     board.open_requests += 1
     try:
         try:
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -73,15 +73,25 @@
     now = time.monotonic()
     elapsed_s = now - board.demand_at
     board.demand_at = now
-    demand = {}
-    for name, bucket in board.buckets.items():
-        bucket.reported = round(smooth_demand(bucket, elapsed_s), 2)
-        if bucket.reported >= DEMAND_MINIMUM:
-            demand[name] = bucket.reported
     version = board.configuration.version if board.configuration else 0
+    demand = measure_demand(board, elapsed_s) if version else {}
     return Report(board.make_entry(), number, version, board.measure_load(), demand)
 
 
+def measure_demand(board, elapsed_s):
+    """Return demand and tokens by organisation, as other hosts will use them."""
+    demand = {}
+    for organisation in board.configuration.organisations.values():
+        if not organisation.rate:
+            continue
+        bucket = board.find_bucket(organisation)
+        bucket.reported = round(smooth_demand(bucket, elapsed_s), 2)
+        tokens = round(bucket.tokens, 1)
+        if bucket.reported >= DEMAND_MINIMUM or tokens >= 1:
+            demand[organisation.name] = (bucket.reported, tokens)
+    return demand
+
+
 async def send_reports(board):
     """Send reports at intervals, and at once after a change."""
     loop = asyncio.get_running_loop()
