--- a/egretlift/quotas/demand.py
+++ b/egretlift/quotas/demand.py
@@ -18,7 +18,9 @@
 BORROWED_DEMAND_S = 0.5
 # After a fruitless attempt an organisation's tokens are not asked for again so soon.
 BORROW_PAUSE_S = 0.1
-DEMAND_SMOOTHING_S = 1.0
+# Borrowed tokens that are kept at most, as a part of rate and burst.
+BORROWED_MAXIMUM = 0.25
+DEMAND_SMOOTHING_S = 3.0
 
 
 class RateBucket:
@@ -27,6 +29,9 @@
     Attributes
     ----------
     tokens : float
+        Tokens of this host's part, never more than its part of the burst.
+    borrowed : float
+        Tokens that other hosts have given, which are used first.
     demand : float
         Smoothed requests a second.
     counted : int
@@ -39,6 +44,7 @@
 
     __slots__ = (
         "borrow_after",
+        "borrowed",
         "counted",
         "demand",
         "filled_at",
@@ -48,6 +54,7 @@
 
     def __init__(self, now):
         self.tokens = 0.0
+        self.borrowed = 0.0
         self.demand = 0.0
         self.counted = 0
         self.reported = 0.0
@@ -62,8 +69,9 @@
     ----------
     own : float
         Demand that this host reported, in requests a second.
-    others : iterable of float
-        Demands that the other hosts reported, 0 for hosts that reported none.
+    others : list of (float or None)
+        Demands that the other hosts reported; None for hosts that were never heard,
+        which may use an equal part.
     hosts : int
         Number of hosts, this one included.
     rate : float
@@ -74,7 +82,9 @@
     0.72
     """
     idle = IDLE_WEIGHT * rate
-    total = own + sum(others) + idle * hosts
+    equal = rate / hosts
+    known = sum(equal if demand is None else demand for demand in others)
+    total = own + known + idle * hosts
     return (own + idle) / total
 
 
@@ -89,15 +99,18 @@
     elapsed_s = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
     earned = rate * factor * share * elapsed_s
-    # Borrowed tokens may exceed the capacity; they only are not added to.
-    bucket.tokens = max(bucket.tokens, min(capacity, bucket.tokens + earned))
+    # What a host holds beyond a part that has become smaller, others may hold too.
+    bucket.tokens = min(capacity, bucket.tokens + earned)
+    bucket.borrowed = min(bucket.borrowed, BORROWED_MAXIMUM * (rate + burst))
 
 
 def draw(bucket):
     """Take a token and return whether there was one."""
-    if bucket.tokens < 1.0:
+    if bucket.tokens + bucket.borrowed < 1.0:
         return False
-    bucket.tokens -= 1.0
+    from_borrowed = min(1.0, bucket.borrowed)
+    bucket.borrowed -= from_borrowed
+    bucket.tokens -= 1.0 - from_borrowed
     return True
 
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -219,10 +219,16 @@
         return bucket
 
     def fill_bucket(self, organisation, bucket):
-        """Add the tokens that this host's part of a rate has earned."""
+        """Add the tokens that this host's part of a rate has earned.
+
+        Before the other hosts are known the part is not, and nothing is earned.
+        """
+        if not self.hosts_listed.is_set():
+            bucket.filled_at = time.monotonic()
+            return
         name = organisation.name
         others = [
-            peer.report.demand.get(name, (0.0, 0.0))[0] if peer.report else 0.0
+            peer.report.demand.get(name, (0.0, 0.0))[0] if peer.report else None
             for peer in self.peers.values()
         ]
         hosts = 1 + len(others)
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -45,10 +45,10 @@
     ended = board.borrowing[name] = anyio.Event()
     try:
         for peer in find_lenders(board, name):
-            bucket.tokens += await ask_for_tokens(
+            bucket.borrowed += await ask_for_tokens(
                 board, peer, name, wanted_tokens(bucket)
             )
-            if bucket.tokens >= 1.0:
+            if bucket.tokens + bucket.borrowed >= 1.0:
                 return
         bucket.borrow_after = time.monotonic() + BORROW_PAUSE_S
     finally:
