Link calls of an upstream to the request they are made for, and pace routes by it

A call expires with its request; the daemon spaces the deadlines that it hands out and so finds the request again. Rank, repeats and the cause of failures follow.

--- a/egretlift/retries/arrivals.py
+++ b/egretlift/retries/arrivals.py
@@ -6,10 +6,13 @@
 """
 
 BINS = 10
-# Part of the ratio that is spent here. Calls made by a repeated run are repeats as
-# well, which no daemon can tell from first calls.
-RATIO_SHARE = 0.4
+# Parts of the ratio and of the slack that are spent here; the rest is for windows
+# that slide between bins, and for calls whose parent is not known to be a repeat.
+RATIO_SHARE = 0.7
 SLACK_SHARE = 0.5
+# Part of the budget that calls of upstreams may use. Where most calls fail, one of
+# several calls that a request needs is seldom worth a repeat.
+INNER_SHARE = 0.6
 
 
 class Arrivals:
@@ -39,7 +42,12 @@
     arrivals.firsts[advance(arrivals, now)] += 1
 
 
-def pay_repeat(arrivals, bounds, hosts, now):
+def record_repeat(arrivals, now):
+    """Count a repeated arrival that cannot be refused, such as a repeat's call."""
+    arrivals.repeats[advance(arrivals, now)] += 1
+
+
+def pay_repeat(arrivals, bounds, hosts, is_inner, now):
     """Count a repeated arrival and return whether it may happen.
 
     Parameters
@@ -49,12 +57,16 @@
         Ratio and slack for the whole service.
     hosts : int
         Daemons of the service.
+    is_inner : bool
+        Whether an upstream makes the call.
     now : float
         Monotonic time in seconds.
     """
     place = advance(arrivals, now)
     earned = RATIO_SHARE * bounds.repeat_ratio * sum(arrivals.firsts)
     earned += SLACK_SHARE * bounds.repeat_slack / max(1, hosts)
+    if is_inner:
+        earned *= INNER_SHARE
     if sum(arrivals.repeats) + 1 > earned:
         return False
     arrivals.repeats[place] += 1
--- a/egretlift/serving/call.py
+++ b/egretlift/serving/call.py
@@ -35,6 +35,10 @@
         Service of the host on which the call began.
     repeated : bool
         Whether an upstream was reached before.
+    of_repeat : bool
+        Whether an upstream makes the call for a request that runs once more.
+    is_inner : bool
+        Whether an upstream makes the call.
     """
 
     __slots__ = (
@@ -44,7 +48,9 @@
         "deadline",
         "headers",
         "idempotent",
+        "is_inner",
         "method",
+        "of_repeat",
         "organisation",
         "rank",
         "received_at",
@@ -59,12 +65,15 @@
 
     def __init__(self, **values):
         self.repeated = False
+        self.of_repeat = False
+        self.is_inner = False
         for name, value in values.items():
             setattr(self, name, value)
 
 
 # Fields of a call that another daemon needs, in the order of the context header.
 # The time that is left comes first and is relative, as clocks differ.
+CONTEXT_FLAGS = ("repeated", "of_repeat", "is_inner")
 CONTEXT_FIELDS = ("service", "caller_service", "route", "organisation")
 NONE_TEXT = "-"
 
@@ -83,30 +92,27 @@
     ...     organisation=None,
     ... )
     >>> encode_context(call, 1.0)
-    '500 2 0 galleries proofing thumbs -'
+    '500 2 0 0 0 galleries proofing thumbs -'
     """
     remaining_ms = max(0, int(1000 * (call.deadline - now)))
     texts = [getattr(call, name) or NONE_TEXT for name in CONTEXT_FIELDS]
-    return " ".join(
-        [str(remaining_ms), str(call.rank), str(int(call.repeated)), *texts]
-    )
+    numbers = [remaining_ms, call.rank]
+    numbers += [int(getattr(call, name)) for name in CONTEXT_FLAGS]
+    return " ".join([*map(str, numbers), *texts])
 
 
 def decode_context(text, now):
     """Return the fields of a call in a context header, None if it is malformed."""
     parts = text.split(" ")
-    if len(parts) != 3 + len(CONTEXT_FIELDS):
+    count = 2 + len(CONTEXT_FLAGS)
+    if len(parts) != count + len(CONTEXT_FIELDS):
         return None
     try:
-        remaining_ms, rank, repeated = map(int, parts[:3])
+        remaining_ms, rank, *flags = map(int, parts[:count])
     except ValueError:
         return None
-    values = dict(zip(CONTEXT_FIELDS, parts[3:], strict=True))
+    values = dict(zip(CONTEXT_FIELDS, parts[count:], strict=True))
     if values["organisation"] == NONE_TEXT:
         values["organisation"] = None
-    return {
-        **values,
-        "deadline": now + remaining_ms / 1000,
-        "rank": rank,
-        "repeated": bool(repeated),
-    }
+    values.update(zip(CONTEXT_FLAGS, map(bool, flags), strict=True))
+    return {**values, "deadline": now + remaining_ms / 1000, "rank": rank}
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -6,10 +6,12 @@
 import anyio
 
 from egretlift.admission import slots as admission
+from egretlift.admission.pace import may_start, record_end
 from egretlift.membership.upstream import may_serve
 from egretlift.outcome import Outcome
-from egretlift.retries.arrivals import pay_repeat, record_first
-from egretlift.serving.refusals import lose, refuse
+from egretlift.retries.arrivals import pay_repeat, record_first, record_repeat
+from egretlift.serving.parents import Run, choose_expiry
+from egretlift.serving.refusals import DEEPER, DEEPER_OVERLOAD, lose, refuse
 from egretlift.transport.exchange import (
     ExchangeBroken,
     NotSent,
@@ -30,8 +32,15 @@
     """
     if not may_serve(board.upstream):
         return refuse(board.upstream.status if board.upstream.current else "absent")
+    now = time.monotonic()
+    if not call.is_inner and not may_start(board.find_pace(call.route), board.random):
+        return refuse("pressure")
     if call.repeated and not pay_repeat(
-        board.arrivals, board.settings.bounds, board.count_hosts(), time.monotonic()
+        board.arrivals,
+        board.settings.bounds,
+        board.count_hosts(),
+        call.is_inner,
+        now,
     ):
         return refuse("repeat-budget")
     started = asyncio.get_running_loop().create_future()
@@ -58,24 +67,51 @@
     """Send a call that holds a slot."""
     upstream = board.upstream
     now = time.monotonic()
-    remaining_s = call.deadline - now
     if not may_serve(upstream):
         return refuse(upstream.status)
+    run = Run(call, choose_expiry(board.runs, call.deadline))
+    remaining_s = run.expires_at - now
     if remaining_s < SHORTEST_S:
         return refuse("deadline")
-    upstream_id = upstream.current.upstream_id
-    data = encode_request(
-        call.method,
-        call.target,
-        board.dialect.make_upstream_headers(call, upstream_id, remaining_s),
-        call.body,
-    )
+    board.runs.add(run)
+    try:
+        answer = await send_to_upstream(board, call, remaining_s)
+    finally:
+        board.runs.discard(run)
+    now_ended = time.monotonic()
+    if answer.outcome is Outcome.WHOLE:
+        admission.release(board.slots, ticket, now_ended, now_ended - now)
+    elif answer.reached:
+        blame_inner(answer, run)
+    if not call.is_inner and answer.reached:
+        refused_deeper = answer.reason == DEEPER_OVERLOAD
+        record_end(board.find_pace(call.route), refused_deeper, now_ended)
+    return answer
+
+
+def blame_inner(answer, run):
+    """Name calls further down as the cause of a failure, if they are."""
+    if answer.outcome is Outcome.REFUSED_NOT_RUN:
+        return
+    if run.inner_refused:
+        answer.reason = DEEPER_OVERLOAD
+    elif run.inner_failed:
+        answer.reason = DEEPER
+
+
+async def send_to_upstream(board, call, remaining_s):
+    """Send a call to the upstream and return its answer."""
+    upstream_id = board.upstream.current.upstream_id
+    headers = board.dialect.make_upstream_headers(call, upstream_id, remaining_s)
+    data = encode_request(call.method, call.target, headers, call.body)
 
     def accepts(fields):
         return board.dialect.answers_request(fields, call.request_id)
 
     def note_arrival():
-        if not call.repeated:
+        if call.of_repeat and not call.repeated:
+            record_repeat(board.arrivals, time.monotonic())
+        elif not call.repeated:
             record_first(board.arrivals, time.monotonic())
 
     received = None
@@ -97,11 +133,7 @@
         return lose("upstream-broke", 502)
     if received is None:
         return lose("deadline", 504)
-    duration_s = time.monotonic() - now
-    answer = classify(board, received)
-    if answer.outcome is Outcome.WHOLE:
-        admission.release(board.slots, ticket, time.monotonic(), duration_s)
-    return answer
+    return classify(board, received)
 
 
 def note_silence(board, upstream_id):
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -25,7 +25,13 @@
 )
 from egretlift.serving.call import encode_context
 from egretlift.serving.execution import execute_here
-from egretlift.serving.refusals import lose, refuse
+from egretlift.serving.refusals import (
+    DEEPER,
+    DEEPER_OVERLOAD,
+    FINAL_REASONS,
+    lose,
+    refuse,
+)
 from egretlift.transport.exchange import (
     ExchangeBroken,
     NotSent,
@@ -89,7 +95,7 @@
         return False
     if call.deadline - time.monotonic() < SHORTEST_S:
         return False
-    if answer.reason == "repeat-budget":
+    if answer.reason in FINAL_REASONS:
         return False
     if answer.outcome is Outcome.REFUSED_NOT_RUN:
         return True
@@ -136,7 +142,7 @@
 def is_failure(answer):
     """Return whether an answer speaks against the host that gave it."""
     if answer.outcome in (Outcome.UNKNOWN, Outcome.FAILED_WAS_RUN):
-        return True
+        return answer.reason not in (DEEPER, DEEPER_OVERLOAD)
     return answer.reason == "upstream-refused"
 
 
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -5,10 +5,27 @@
 
 # Reasons that say something about the rate of the organisation.
 RATE = "rate"
+# Reasons of failures whose cause is a call further down.
+DEEPER = "deeper"
+DEEPER_OVERLOAD = "deeper-overload"
+# Reasons that speak of load, also when a call further down was refused for them.
+LOAD_REASONS = frozenset(
+    (
+        "overload",
+        "deadline",
+        "upstream-refused",
+        "pressure",
+        "repeat-budget",
+        DEEPER_OVERLOAD,
+    )
+)
+# After these reasons another host would do no better.
+FINAL_REASONS = frozenset(("repeat-budget", "pressure", DEEPER, DEEPER_OVERLOAD))
 # Times after which a refused caller returns, in seconds: the shortest and the spread.
 RETURN_S = 0.25
 RETURN_SPREAD_S = 0.5
 RATE_RETURN_S = 1.0
+PRESSURE_RETURN_S = 0.7
 
 REMEDIES = {
     "overload": "retry after the stated time; the service is overloaded",
@@ -43,5 +60,5 @@
 
 def choose_return_s(reason, random):
     """Return the seconds after which a refused caller should come back."""
-    base_s = RATE_RETURN_S if reason == RATE else RETURN_S
+    base_s = {RATE: RATE_RETURN_S, "pressure": PRESSURE_RETURN_S}.get(reason, RETURN_S)
     return base_s + RETURN_SPREAD_S * random.random()
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from egretlift.admission.pace import Pace
 from egretlift.admission.slots import Slots, expected_wait_s
 from egretlift.events import record_event
 from egretlift.membership.peers import HostEntry, Load, is_heard, learn_stored
@@ -46,6 +47,10 @@
         Set when the borrowing of an organisation's tokens that is under way ends.
     own_failed : float
         Decaying part of calls that failed at this host's upstream.
+    runs : set of Run
+        Calls that the upstream runs now.
+    paces : dict of str to Pace
+        Pace of the routes whose requests the upstream runs.
     open_requests : int
         Requests that were read and not answered yet.
     stopping, refusing : bool
@@ -76,11 +81,13 @@
         "own_failed",
         "own_failed_at",
         "own_revision",
+        "paces",
         "peer_pool",
         "peers",
         "random",
         "refusing",
         "report_due",
+        "runs",
         "settings",
         "slots",
         "stopping",
@@ -103,6 +110,8 @@
         self.configuration_seen_at = 0.0
         self.upstream = UpstreamState()
         self.slots = Slots()
+        self.runs = set()
+        self.paces = {}
         self.arrivals = Arrivals(settings.bounds.repeat_window_s)
         self.peers = {}
         self.buckets = {}
@@ -191,6 +200,13 @@
             stopping=self.stopping,
         )
 
+    def find_pace(self, route):
+        """Return the pace of a route on this host's upstream."""
+        pace = self.paces.get(route)
+        if pace is None:
+            pace = self.paces[route] = Pace(time.monotonic())
+        return pace
+
     def measure_load(self):
         """Return the load of this host's upstream."""
         slots = self.slots
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -6,7 +6,8 @@
 from egretlift.serving import checks
 from egretlift.serving.call import Call
 from egretlift.serving.offers import serve_call
-from egretlift.serving.refusals import choose_return_s, refuse
+from egretlift.serving.parents import find_parent
+from egretlift.serving.refusals import LOAD_REASONS, choose_return_s, refuse
 from egretlift.sidecar.bodies import read_body
 from egretlift.sidecar.delivery import deliver
 from egretlift.sidecar.metrics import make_histogram, observe
@@ -23,8 +24,11 @@
     call = None
     try:
         try:
-            call = await receive_caller(board, request, started)
+            call, parent = await receive_caller(board, request, started)
             answer = await carry(board, call)
+            if parent is not None and answer.outcome is not Outcome.WHOLE:
+                parent.inner_failed = True
+                parent.inner_refused |= answer.reason in LOAD_REASONS
         except checks.CheckFailed as error:
             answer = refuse(error.refusal.reason, error.refusal.status)
         note_answer(board, call, answer, time.monotonic() - started)
@@ -56,7 +60,7 @@
 
 
 async def receive_caller(board, request, started):
-    """Return the call in a request of a caller."""
+    """Return the call in a request of a caller, and the run that it is made for."""
     dialect, configuration = board.dialect, board.configuration
     headers = request.headers
     if board.refusing:
@@ -70,10 +74,14 @@
     if request_id is None:
         checks.fail("no-request-id", 400, "send a request id")
     waits_s = dialect.read_deadline_s(headers)
+    parent = None
+    if route.is_open and waits_s is not None:
+        parent = find_parent(board.runs, started + waits_s)
+        board.count("parents", "found" if parent else "unknown")
     body = await read_body(request, configuration.body_bytes)
     if waits_s is not None:
         waits_s = max(0.0, waits_s - CALLER_MARGIN_S)
-    return Call(
+    call = Call(
         request_id=request_id,
         method=request.method,
         target=target,
@@ -90,7 +98,13 @@
         attempts=route.attempts,
         target_s=route.target_s,
         caller_service=board.settings.service,
+        is_inner=route.is_open,
+        of_repeat=parent is not None
+        and (parent.call.repeated or parent.call.of_repeat),
     )
+    if parent is not None:
+        call.rank = parent.call.rank
+    return call, parent
 
 
 async def carry(board, call):
