--- a/egretlift/admission/pace.py
+++ b/egretlift/admission/pace.py
@@ -12,9 +12,14 @@
 ENDS_MINIMUM = 6
 # Part of requests that may fail for load without a slower pace.
 TOLERATED = 0.04
-RAISE = 1.15
+RAISE = 1.3
 LOWER_MOST = 0.5
-PACE_MINIMUM = 0.08
+PACE_MINIMUM = 0.1
+# How much likelier a request is let in whose caller was refused before.
+RETURNED_FACTOR = 4.0
+# Part of the longest wait below which a caller has waited before.
+RETURN_PART = 0.97
+FORGET = 0.9999
 
 
 class Pace:
@@ -53,6 +58,38 @@
     pace.ended = pace.refused = 0
 
 
-def may_start(pace, random):
-    """Return whether a further request is let in."""
-    return pace.open >= 1.0 or random.random() < pace.open
+def may_start(pace, returned, random):
+    """Return whether a further request is let in.
+
+    A caller that was refused once and returns goes first: it has little time left,
+    and a second refusal would mostly be final.
+    """
+    chance = pace.open * (RETURNED_FACTOR if returned else 1.0)
+    return chance >= 1.0 or random.random() < chance
+
+
+class Waits:
+    """Longest time that callers of each route wait, in seconds, by route."""
+
+    __slots__ = ("longest",)
+
+    def __init__(self):
+        self.longest = {}
+
+
+def is_return(waits, route, waits_s):
+    """Return whether a caller seems to come back after a refusal.
+
+    A caller states the time that it has left, which is less than that of other
+    callers of the route when it has waited before.
+
+    Examples
+    --------
+    >>> waits = Waits()
+    >>> is_return(waits, "r", 5.0), is_return(waits, "r", 3.9)
+    (False, True)
+    """
+    longest = waits.longest.get(route, 0.0)
+    # Forgets a longest wait that callers no longer state.
+    waits.longest[route] = max(waits_s, FORGET * longest)
+    return waits_s < RETURN_PART * longest
--- a/egretlift/serving/call.py
+++ b/egretlift/serving/call.py
@@ -39,6 +39,8 @@
         Whether an upstream makes the call for a request that runs once more.
     is_inner : bool
         Whether an upstream makes the call.
+    returned : bool
+        Whether the caller seems to come back after a refusal.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "received_at",
         "repeated",
         "request_id",
+        "returned",
         "route",
         "route_rank",
         "service",
@@ -67,13 +70,14 @@
         self.repeated = False
         self.of_repeat = False
         self.is_inner = False
+        self.returned = False
         for name, value in values.items():
             setattr(self, name, value)
 
 
 # Fields of a call that another daemon needs, in the order of the context header.
 # The time that is left comes first and is relative, as clocks differ.
-CONTEXT_FLAGS = ("repeated", "of_repeat", "is_inner")
+CONTEXT_FLAGS = ("repeated", "of_repeat", "is_inner", "returned")
 CONTEXT_FIELDS = ("service", "caller_service", "route", "organisation")
 NONE_TEXT = "-"
 
@@ -92,7 +96,7 @@
     ...     organisation=None,
     ... )
     >>> encode_context(call, 1.0)
-    '500 2 0 0 0 galleries proofing thumbs -'
+    '500 2 0 0 0 0 galleries proofing thumbs -'
     """
     remaining_ms = max(0, int(1000 * (call.deadline - now)))
     texts = [getattr(call, name) or NONE_TEXT for name in CONTEXT_FIELDS]
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -33,8 +33,10 @@
     if not may_serve(board.upstream):
         return refuse(board.upstream.status if board.upstream.current else "absent")
     now = time.monotonic()
-    if not call.is_inner and not may_start(board.find_pace(call.route), board.random):
-        return refuse("pressure")
+    if not call.is_inner:
+        pace = board.find_pace(call.route)
+        if not may_start(pace, call.returned, board.random):
+            return refuse("pressure")
     if call.repeated and not pay_repeat(
         board.arrivals,
         board.settings.bounds,
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -8,17 +8,9 @@
 # Reasons of failures whose cause is a call further down.
 DEEPER = "deeper"
 DEEPER_OVERLOAD = "deeper-overload"
-# Reasons that speak of load, also when a call further down was refused for them.
-LOAD_REASONS = frozenset(
-    (
-        "overload",
-        "deadline",
-        "upstream-refused",
-        "pressure",
-        "repeat-budget",
-        DEEPER_OVERLOAD,
-    )
-)
+# Reasons that speak of load, also when a call further down was refused for them. An
+# upstream that refuses calls although it has slots is faulty: fewer calls help nobody.
+LOAD_REASONS = frozenset(("overload", "deadline", "pressure", DEEPER_OVERLOAD))
 # After these reasons another host would do no better.
 FINAL_REASONS = frozenset(("repeat-budget", "pressure", DEEPER, DEEPER_OVERLOAD))
 # Times after which a refused caller returns, in seconds: the shortest and the spread.
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from egretlift.admission.pace import Pace
+from egretlift.admission.pace import Pace, Waits
 from egretlift.admission.slots import Slots, expected_wait_s
 from egretlift.events import record_event
 from egretlift.membership.peers import HostEntry, Load, is_heard, learn_stored
@@ -96,6 +96,7 @@
         "tasks",
         "upstream",
         "upstream_pool",
+        "waits",
     )
 
     def __init__(self, settings, dialect, store):
@@ -112,6 +113,7 @@
         self.slots = Slots()
         self.runs = set()
         self.paces = {}
+        self.waits = Waits()
         self.arrivals = Arrivals(settings.bounds.repeat_window_s)
         self.peers = {}
         self.buckets = {}
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -2,6 +2,7 @@
 
 import time
 
+from egretlift.admission.pace import is_return
 from egretlift.outcome import Outcome
 from egretlift.serving import checks
 from egretlift.serving.call import Call
@@ -101,6 +102,9 @@
         is_inner=route.is_open,
         of_repeat=parent is not None
         and (parent.call.repeated or parent.call.of_repeat),
+        returned=not route.is_open
+        and waits_s is not None
+        and is_return(board.waits, route.name, waits_s),
     )
     if parent is not None:
         call.rank = parent.call.rank
