--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -23,6 +23,8 @@
 # An upstream answers at the deadline itself; its answer needs a moment to arrive.
 ANSWER_MARGIN_S = 0.03
 SHORTEST_S = 0.005
+# Part of its time that a call of an upstream may wait for a slot.
+INNER_WAIT_SHARE = 0.25
 
 
 async def execute_here(board, call):
@@ -51,7 +53,8 @@
         if not started.done():
             started.set_result(reason)
 
-    ticket = admission.Ticket(call.rank, call.route, call.deadline, notify)
+    latest = find_latest_end(board, call, now)
+    ticket = admission.Ticket(call.rank, call.route, latest, notify)
     reason = admission.enter(board.slots, ticket, time.monotonic())
     if reason:
         return refuse(reason)
@@ -65,6 +68,19 @@
         admission.abandon(board.slots, ticket, time.monotonic())
 
 
+def find_latest_end(board, call, now):
+    """Return the time by which a call must be expected to end to be let in.
+
+    An upstream that makes one call mostly makes more; one that waited for all of its
+    request's time would end in time only for the request to be too late.
+    """
+    if not call.is_inner:
+        return call.deadline
+    wait_s = INNER_WAIT_SHARE * (call.deadline - now)
+    typical_s = admission.typical_s(board.slots, call.route)
+    return min(call.deadline, now + wait_s + typical_s)
+
+
 async def dispatch(board, call, ticket):
     """Send a call that holds a slot."""
     upstream = board.upstream
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -50,6 +50,11 @@
     return answer
 
 
+def speaks_of_load(answer):
+    """Return whether an answer shows that its service, or one below, has no room."""
+    return answer.reason in LOAD_REASONS or answer.status == 504
+
+
 def choose_return_s(reason, random):
     """Return the seconds after which a refused caller should come back."""
     base_s = {RATE: RATE_RETURN_S, "pressure": PRESSURE_RETURN_S}.get(reason, RETURN_S)
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -8,7 +8,7 @@
 from egretlift.serving.call import Call
 from egretlift.serving.offers import serve_call
 from egretlift.serving.parents import find_parent
-from egretlift.serving.refusals import LOAD_REASONS, choose_return_s, refuse
+from egretlift.serving.refusals import choose_return_s, refuse, speaks_of_load
 from egretlift.sidecar.bodies import read_body
 from egretlift.sidecar.delivery import deliver
 from egretlift.sidecar.metrics import make_histogram, observe
@@ -29,7 +29,7 @@
             answer = await carry(board, call)
             if parent is not None and answer.outcome is not Outcome.WHOLE:
                 parent.inner_failed = True
-                parent.inner_refused |= answer.reason in LOAD_REASONS
+                parent.inner_refused |= speaks_of_load(answer)
         except checks.CheckFailed as error:
             answer = refuse(error.refusal.reason, error.refusal.status)
         note_answer(board, call, answer, time.monotonic() - started)
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from egretlift.membership.peers import eject
 from egretlift.quotas.demand import (
     BORROW_PAUSE_S,
     draw,
@@ -76,7 +77,7 @@
     """Return the peers that reported tokens of an organisation, most first."""
     found = []
     for peer in board.peers.values():
-        if peer.report is None or not board.is_heard(peer):
+        if not board.shares_rates(peer) or time.monotonic() < peer.ejected_until:
             continue
         tokens = peer.report.demand.get(name, (0.0, 0.0))[1]
         if tokens >= LENT_MINIMUM:
@@ -100,6 +101,7 @@
             )
         return float(json.loads(received.body)["tokens"])
     except (NotSent, ExchangeBroken, TimeoutError, ValueError, KeyError) as error:
+        eject(peer, time.monotonic())
         board.log_change("borrowing-failed", peer=entry.host, cause=repr(error))
         return 0.0
 
