--- a/egretlift/quotas/demand.py
+++ b/egretlift/quotas/demand.py
@@ -19,7 +19,7 @@
 BORROWED_DEMAND_S = 0.5
 # After a fruitless attempt an organisation's tokens are not asked for again so soon.
 BORROW_PAUSE_S = 0.1
-# Parts of the capacity that requests of rank 0, 1, and 2 or more leave to others.
+# Parts of the tokens that requests of rank 0, 1, and 2 or more leave to others.
 RESERVE_SHARES = (0.0, 0.1, 0.25)
 DEMAND_SMOOTHING_S = 3.0
 
@@ -31,8 +31,8 @@
     ----------
     tokens : float
         Tokens that this host has earned.
-    capacity : float
-        This host's part of the burst, in tokens.
+    fullness : float
+        Tokens of the heard hosts as a part of what they may hold together.
     borrowed : float
         Tokens that other hosts have given, which are used first.
     demand : float
@@ -48,10 +48,10 @@
     __slots__ = (
         "borrow_after",
         "borrowed",
-        "capacity",
         "counted",
         "demand",
         "filled_at",
+        "fullness",
         "reported",
         "reported_tokens",
         "tokens",
@@ -60,7 +60,7 @@
     def __init__(self, now):
         self.tokens = 0.0
         self.borrowed = 0.0
-        self.capacity = 0.0
+        self.fullness = 0.0
         self.demand = 0.0
         self.counted = 0
         self.reported = 0.0
@@ -147,27 +147,28 @@
         most = bucket.reported_tokens * capacity / (held + bucket.reported_tokens)
     elapsed_s = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
-    bucket.capacity = capacity * share
     earned = rate * factor * share * elapsed_s
     bucket.borrowed = min(bucket.borrowed, most)
     bucket.tokens = min(most - bucket.borrowed, bucket.tokens + earned)
+    near = sum(tokens for _, tokens in others.heard) + bucket.tokens + bucket.borrowed
+    bucket.fullness = near / max(1.0, capacity * (1.0 - sum(others.unheard)))
 
 
 def draw(bucket, rank=0):
     """Take a token and return whether there was one.
 
-    The last tokens are kept for more important requests, so a request of a rank
-    above 0 needs more than one.
+    The last tokens of all hosts are kept for more important requests.
 
     Examples
     --------
     >>> bucket = RateBucket(0.0)
-    >>> bucket.capacity, bucket.tokens = 10.0, 2.0
+    >>> bucket.tokens, bucket.fullness = 2.0, 0.2
     >>> draw(bucket, rank=2), draw(bucket, rank=0)
     (False, True)
     """
-    reserve = RESERVE_SHARES[min(rank, len(RESERVE_SHARES) - 1)] * bucket.capacity
-    if bucket.tokens + bucket.borrowed < 1.0 + reserve:
+    if bucket.fullness < RESERVE_SHARES[min(rank, len(RESERVE_SHARES) - 1)]:
+        return False
+    if bucket.tokens + bucket.borrowed < 1.0:
         return False
     from_borrowed = min(1.0, bucket.borrowed)
     bucket.borrowed -= from_borrowed
--- a/egretlift/quotas/tests/test_demand.py
+++ b/egretlift/quotas/tests/test_demand.py
@@ -56,6 +56,17 @@
         mesh.run(8, EVEN, 7.5 * 62)
         self.assertLessEqual(mesh.busiest_window(), mesh.allowed())
 
+    def test_tokens_that_all_lie_on_one_host(self):
+        """Guards against requests refused because another host holds every token."""
+        for rank in (0, 2):
+            with self.subTest(rank=rank):
+                mesh = RateMesh(2, 1000, 1000)
+                # The first host starts alone, and takes the whole burst.
+                mesh.buckets[0].tokens = mesh.buckets[0].reported_tokens = 1100
+                mesh.seen = [[(0.0, 1100.0), (0.0, 0.0)]] * 2
+                mesh.run(5, [0, 1], 20, ranks=(rank,))
+                self.assertFalse(mesh.refused)
+
     def test_lowered_rate(self):
         """Guards against tokens of an earlier, higher rate that are used later."""
         mesh = RateMesh(12, 300, 300)
