Take the hosts from another daemon while the store is away

Cause: a daemon that restarts in an outage of the store got configuration and hosts from another daemon, but waited for the store's list before it earned rate tokens; so it refused every keyed request with 429. The stored entry of the own host is taken from there as well, for its drains.

--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -14,6 +14,7 @@
     encode_report,
     learn_report,
 )
+from egretlift.membership.upstream import restore
 from egretlift.quotas.demand import report_bucket
 from egretlift.sidecar.peers import STATE_PATH
 from egretlift.sidecar.watching import adopt_configuration
@@ -153,3 +154,7 @@
             continue
         if found.host != board.settings.host:
             board.learn_host(found)
+        elif found.boot != board.boot:
+            restore(board.upstream, found)
+    # The other daemon's hosts do for the store's list while the store is away.
+    board.hosts_listed.set()
