--- /dev/null
+++ b/egretlift/cli/check_host.py
@@ -0,0 +1,30 @@
+"""Command ``check-host``: the settings file that the platform gives a daemon."""
+
+from pathlib import Path
+
+import typer
+
+from egretlift.cli.output import OUTPUT, Output, print_rows
+from egretlift.platform.bootfile import read_settings_file
+from egretlift.sidecar.settings import Bounds, SidecarSettings
+
+
+def check_host_command(
+    ctx: typer.Context,
+    file: Path = typer.Argument(help="The settings file."),
+    output: Output = OUTPUT,
+):
+    """Check a settings file of the platform and show what the daemon reads in it."""
+    settings = read_settings_file(file)
+    rows = []
+    for name in SidecarSettings.__slots__:
+        value = getattr(settings, name)
+        if isinstance(value, Bounds):
+            continue
+        shown = ":".join(map(str, value)) if isinstance(value, tuple) else value
+        rows.append({"setting": name, "value": shown})
+    for name in Bounds.__slots__:
+        rows.append(
+            {"setting": f"bounds.{name}", "value": getattr(settings.bounds, name)}
+        )
+    print_rows(rows, output or ctx.obj.output)
--- a/egretlift/cli/commands.py
+++ b/egretlift/cli/commands.py
@@ -6,7 +6,7 @@
 import typer
 from typer.exceptions import TyperException
 
-from egretlift.cli import check, hosts, keys, objects, timeline
+from egretlift.cli import check, check_host, explain, hosts, keys, objects, timeline
 from egretlift.cli.output import Output, print_note
 from egretlift.cli.session import Session
 from egretlift.configuration import parse_organisation, parse_profile
@@ -82,6 +82,8 @@
 app.command("limits")(hosts.limits_command)
 app.command("shares")(hosts.shares_command)
 app.command("timeline")(timeline.timeline_command)
+app.command("explain")(explain.explain_command)
+app.command("check-host")(check_host.check_host_command)
 app.command(
     "check",
     context_settings={"allow_extra_args": True, "ignore_unknown_options": True},
--- /dev/null
+++ b/egretlift/serving/tests/test_offers.py
@@ -0,0 +1,140 @@
+"""Which answers lead to a further offer, and which one the caller hears."""
+
+import time
+import unittest
+
+from egretlift.outcome import Outcome
+from egretlift.serving.call import Call, decode_context, encode_context
+from egretlift.serving.offers import may_offer_again, prefer
+from egretlift.serving.refusals import (
+    DEEPER,
+    DEEPER_OVERLOAD,
+    lose,
+    refuse,
+    speaks_of_load,
+)
+from egretlift.transport.messages import Answer
+
+
+def make_call(**changes):
+    """Return a call with time left."""
+    values = {
+        "request_id": "r",
+        "deadline": time.monotonic() + 5,
+        "route": "views",
+        "service": "checkout",
+        "caller_service": "galleries",
+        "organisation": "n",
+        "rank": 22,
+        "idempotent": True,
+        "attempts": 2,
+    }
+    return Call(**{**values, **changes})
+
+
+def make_failure(reason="upstream-failed", status=500):
+    """Return an upstream's failure."""
+    answer = Answer(Outcome.FAILED_WAS_RUN, status, reason=reason)
+    answer.reached = True
+    return answer
+
+
+class TestOffers(unittest.TestCase):
+    """Further offers and final answers."""
+
+    def test_further_offers(self):
+        """Guards against repeats of bookings, and against needless refusals."""
+        whole = Answer(Outcome.WHOLE, 200)
+        for name, answer, changes, arrivals, expected in (
+            ("whole", whole, {}, 1, False),
+            ("refused by the daemon", refuse("overload"), {}, 0, True),
+            ("refused booking", refuse("overload"), {"idempotent": False}, 0, True),
+            ("not run", refuse("upstream-refused", reached=True), {}, 1, True),
+            (
+                "booking not run",
+                refuse("upstream-refused", reached=True),
+                {"idempotent": False},
+                1,
+                True,
+            ),
+            ("no attempt left", refuse("upstream-refused", reached=True), {}, 2, False),
+            ("lost", lose("upstream-broke", 502), {}, 1, True),
+            ("lost booking", lose("peer-broke", 502), {"idempotent": False}, 1, False),
+            ("failed", make_failure(), {}, 1, True),
+            ("failed booking", make_failure(), {"idempotent": False}, 1, False),
+            ("failed further down", make_failure(DEEPER), {}, 1, False),
+            ("refused further down", make_failure(DEEPER_OVERLOAD), {}, 1, False),
+            ("timed out", lose("deadline", 504), {}, 1, False),
+            ("paced", refuse("pressure"), {}, 0, False),
+            ("budget used up", refuse("repeat-budget"), {}, 1, False),
+            ("too late", refuse("overload"), {"deadline": time.monotonic()}, 0, False),
+        ):
+            with self.subTest(name):
+                call = make_call(**changes)
+                self.assertEqual(may_offer_again(call, answer, arrivals), expected)
+
+    def test_what_the_caller_hears(self):
+        """Guards against "not run" for a call of which one attempt may have run."""
+        refused, lost, failed = refuse("overload"), lose("x", 502), make_failure()
+        whole = Answer(Outcome.WHOLE, 200)
+        for name, answers, expected in (
+            ("refused twice", [refused, refuse("absent")], Outcome.REFUSED_NOT_RUN),
+            ("lost, then refused", [lost, refused], Outcome.UNKNOWN),
+            ("failed, then refused", [failed, refused], Outcome.FAILED_WAS_RUN),
+            ("refused, then lost", [refused, lost], Outcome.UNKNOWN),
+            ("lost, then whole", [lost, whole], Outcome.WHOLE),
+        ):
+            with self.subTest(name):
+                kept = None
+                for answer in answers:
+                    kept = prefer(kept, answer)
+                self.assertIs(kept.outcome, expected)
+
+    def test_what_speaks_of_load(self):
+        """Guards against routes slowed for faults, and not slowed for timeouts."""
+        for answer, expected in (
+            (refuse("overload"), True),
+            (refuse("deadline"), True),
+            (lose("deadline", 504), True),
+            (make_failure(DEEPER_OVERLOAD), True),
+            (refuse("upstream-refused", reached=True), False),
+            (refuse("repeat-budget"), False),
+            (make_failure(), False),
+        ):
+            with self.subTest(reason=answer.reason):
+                self.assertEqual(speaks_of_load(answer), expected)
+
+
+class TestContext(unittest.TestCase):
+    """What one daemon tells another of a call."""
+
+    def test_round_trip(self):
+        """Guards against an organisation or rank that is lost on the way."""
+        for changes in (
+            {},
+            {"organisation": None, "is_inner": True, "of_repeat": True},
+        ):
+            with self.subTest(changes=changes):
+                call = make_call(**changes)
+                text = encode_context(call, call.deadline - 0.5)
+                values = decode_context(text, 100.0)
+                self.assertAlmostEqual(values["deadline"], 100.5, places=2)
+                for name in (
+                    "organisation",
+                    "rank",
+                    "service",
+                    "is_inner",
+                    "of_repeat",
+                ):
+                    self.assertEqual(values[name], getattr(call, name))
+
+    def test_malformed(self):
+        """Guards against contexts that a daemon would take for a call."""
+        good = encode_context(make_call(), 0.0)
+        for text in ("", "x", good + " more", good.replace("22", "high")):
+            with self.subTest(text=text):
+                self.assertIsNone(decode_context(text, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
