--- a/egretlift/cli/explain.py
+++ b/egretlift/cli/explain.py
@@ -11,7 +11,17 @@
 
 # Changes that hosts of the request logged this long before its end are shown.
 CONTEXT_S = 3.0
-SHOWN = ("route", "service", "target", "status", "outcome", "reason", "cause")
+SHOWN = (
+    "route",
+    "service",
+    "target",
+    "peer",
+    "state",
+    "status",
+    "outcome",
+    "reason",
+    "cause",
+)
 # Events of changes; all others are decisions on single requests.
 DECISIONS = frozenset(("offer", "answered", "not-whole", "upstream-broke"))
 
