--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -124,20 +124,16 @@
         tokens that it has.
     version : int
         Configuration in force, 0 for none.
-    levels : list of float
-        See `egretlift.admission.pressure`.
     """
 
-    __slots__ = ("calls", "demand", "entry", "level", "load", "number", "version")
+    __slots__ = ("demand", "entry", "load", "number", "version")
 
-    def __init__(self, entry, number, version, load, demand, level=None, calls=None):
+    def __init__(self, entry, number, version, load, demand):
         self.entry = entry
         self.number = number
         self.version = version
         self.load = load
         self.demand = demand
-        self.level = level
-        self.calls = calls or {}
 
 
 def encode_report(report):
@@ -149,8 +145,6 @@
             report.version,
             encode_load(report.load),
             report.demand,
-            report.level,
-            report.calls,
         ],
         separators=(",", ":"),
     ).encode()
@@ -165,23 +159,18 @@
         It is no report.
     """
     try:
-        values, number, version, load, demand, level, calls = json.loads(data)
+        values, number, version, load, demand = json.loads(data)
         demand = {
             str(name): (float(arriving), float(tokens))
             for name, (arriving, tokens) in demand.items()
         }
         number, version = int(number), int(version)
-        level = None if level is None else float(level)
-        calls = {
-            str(route): {str(other): float(n) for other, n in made.items()}
-            for route, made in calls.items()
-        }
     except (AttributeError, TypeError, ValueError) as error:
         raise ObjectInvalid(f"report: {error!r}", REMEDY) from error
     found = decode_load(load)
     if found is None:
         raise ObjectInvalid(f"report: load is {load!r}", REMEDY)
-    return Report(decode_entry(values), number, version, found, demand, level, calls)
+    return Report(decode_entry(values), number, version, found, demand)
 
 
 class Peer:
--- a/egretlift/membership/tests/test_peers.py
+++ b/egretlift/membership/tests/test_peers.py
@@ -123,7 +123,7 @@
             json.dumps([["b"], *good[1:]]).encode(),
             json.dumps([[7, *good[0][1:]], *good[1:]]).encode(),
             json.dumps([*good[:3], "x", *good[4:]]).encode(),
-            json.dumps([*good[:4], {"n": 5}, *good[5:]]).encode(),
+            json.dumps([*good[:4], {"n": 5}]).encode(),
         ):
             with self.subTest(data=data), self.assertRaises(ObjectInvalid):
                 decode_report(data)
--- a/egretlift/serving/call.py
+++ b/egretlift/serving/call.py
@@ -29,8 +29,8 @@
     idempotent : bool
     attempts : int
         Upstreams that the call may reach.
-    target_s : float or None
-        Time in which an answer has its full worth.
+    parent_id : str
+        Identifier of the request that an upstream makes the call for, if it is known.
     caller_service : str
         Service of the host on which the call began.
     repeated : bool
@@ -54,6 +54,7 @@
         "method",
         "of_repeat",
         "organisation",
+        "parent_id",
         "rank",
         "received_at",
         "repeated",
@@ -63,7 +64,6 @@
         "route_rank",
         "service",
         "target",
-        "target_s",
     )
 
     def __init__(self, **values):
@@ -71,6 +71,7 @@
         self.of_repeat = False
         self.is_inner = False
         self.returned = False
+        self.parent_id = ""
         for name, value in values.items():
             setattr(self, name, value)
 
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -7,6 +7,7 @@
 from egretlift.membership.peers import (
     decode_load,
     eject,
+    encode_load,
     may_call,
     set_load,
 )
@@ -57,9 +58,10 @@
     """
     tried, arrivals, kept = set(), 0, None
     for _ in range(OFFERS_MAXIMUM):
-        host = choose_host(board, call, tried)
-        if host is None:
+        chosen = choose_host(board, call, tried)
+        if chosen is None:
             break
+        host = chosen.host
         tried.add(host)
         call.repeated = arrivals > 0
         if host == board.settings.host:
@@ -68,13 +70,29 @@
         else:
             answer = await offer_to_peer(board, call, board.peers[host])
         arrivals += answer.reached
-        board.log("offer", call, target=host, outcome=answer.outcome.value)
+        log_offer(board, call, chosen, answer)
         kept = prefer(kept, answer)
         if not may_offer_again(call, answer, arrivals):
             break
     return kept or refuse("no-upstream")
 
 
+def log_offer(board, call, chosen, answer):
+    """Log to which host a call was offered, why, and how that ended."""
+    load = chosen.load
+    board.log(
+        "offer",
+        call,
+        target=chosen.host,
+        near=chosen.near,
+        load=encode_load(load).replace(" ", "/") if load else "-",
+        load_age_ms=round(1000 * chosen.age_s),
+        failed=round(chosen.failed, 2),
+        outcome=answer.outcome.value,
+        reason=answer.reason or "-",
+    )
+
+
 def prefer(kept, answer):
     """Return the answer that tells the caller the truth about all offers.
 
@@ -103,7 +121,7 @@
 
 
 def choose_host(board, call, tried):
-    """Return the name of the host that a call is offered to, or None."""
+    """Return the candidate that a call is offered to, or None."""
     now = time.monotonic()
     settings = board.settings
     candidates = []
@@ -135,8 +153,7 @@
                 fade(peer.failed, now - peer.failed_at),
             )
         )
-    chosen = choose_candidate(candidates, board.random)
-    return chosen and chosen.host
+    return choose_candidate(candidates, board.random)
 
 
 def is_failure(answer):
@@ -198,7 +215,7 @@
     load = decode_load(fields.get(LOAD_HEADER))
     if load is not None:
         set_load(peer, load, time.monotonic())
-    headers = select_answer_headers(received.fields_in_order())
+    headers = select_answer_headers(received.header_map())
     outcome = read_outcome(fields.get(OUTCOME_HEADER))
     answer = Answer(outcome, received.status, headers, received.body)
     answer.reason = fields.get(REASON_HEADER, "")
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -7,7 +7,7 @@
 import anyio
 
 from egretlift.admission.pace import Pace, Waits
-from egretlift.admission.slots import Slots, expected_wait_s
+from egretlift.admission.slots import Slots
 from egretlift.events import record_event
 from egretlift.membership.peers import HostEntry, Load, is_heard, learn_stored
 from egretlift.membership.upstream import UpstreamState, may_serve
@@ -95,7 +95,6 @@
         "stopping",
         "store",
         "store_ok",
-        "tasks",
         "upstream",
         "upstream_pool",
         "waits",
@@ -142,7 +141,6 @@
         self.fetch_from = set()
         self.demand_at = time.monotonic()
         self.demand_before = self.demand_at
-        self.tasks = None
 
     def count(self, name, label=""):
         """Add one to a counter."""
@@ -169,6 +167,7 @@
                 "route": call.route,
                 "service": call.service,
                 "organisation": call.organisation or "-",
+                "parent": call.parent_id or "-",
                 "remaining_ms": remaining_ms,
                 **fields,
             }
@@ -218,10 +217,6 @@
         slots = self.slots
         return Load(slots.running, slots.limit, len(slots.waiting), slots.duration_s)
 
-    def expected_wait_s(self, rank):
-        """Return the seconds that a call of a rank would wait here."""
-        return expected_wait_s(self.slots, rank)
-
     def may_execute(self, service):
         """Return whether this host's upstream can run calls of a service."""
         return service == self.settings.service and may_serve(self.upstream)
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -97,7 +97,6 @@
         route_rank=route.rank,
         idempotent=route.idempotent,
         attempts=route.attempts,
-        target_s=route.target_s,
         caller_service=board.settings.service,
         is_inner=route.is_open,
         of_repeat=parent is not None
@@ -108,6 +107,7 @@
     )
     if parent is not None:
         call.rank = parent.call.rank
+        call.parent_id = parent.call.request_id
     return call, parent
 
 
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -160,7 +160,6 @@
     record_event("started", zone=settings.zone, service=settings.service)
     try:
         async with anyio.create_task_group() as tasks:
-            board.tasks = tasks
             for controller in CONTROLLERS:
                 tasks.start_soon(keep_running, board, controller)
             tasks.start_soon(keep_running, board, tidy)
--- /dev/null
+++ b/egretlift/sidecar/tests/test_reload.py
@@ -0,0 +1,43 @@
+"""Settings files that change while a daemon runs."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from egretlift.platform import requests as dialect
+from egretlift.platform.bootfile import read_settings_file
+from egretlift.platform.tests.test_decoding import SETTINGS
+from egretlift.sidecar.board import Board
+from egretlift.sidecar.main import reload_settings
+
+
+class TestReload(unittest.TestCase):
+    """One change after the other."""
+
+    def test_changes(self):
+        """Guards against a bad file that ends or changes a running daemon."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "boot.json")
+            path.write_text(json.dumps(SETTINGS))
+            board = Board(read_settings_file(path), dialect, None)
+            board.settings_path = path
+            board.settings_content = path.read_bytes()
+            for name, text, expected in (
+                ("same", json.dumps(SETTINGS), 2.0),
+                ("changed", json.dumps({**SETTINGS, "bounds": {"drain_s": 5}}), 5.0),
+                ("cut short", "{", 5.0),
+                ("wrong", json.dumps({**SETTINGS, "ip": 7}), 5.0),
+                ("changed again", json.dumps(SETTINGS), 2.0),
+            ):
+                with self.subTest(name):
+                    path.write_text(text)
+                    reload_settings(board)
+                    self.assertEqual(board.settings.bounds.drain_s, expected)
+            path.unlink()
+            reload_settings(board)
+            self.assertEqual(board.settings.bounds.drain_s, 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -47,7 +47,26 @@
     if time.monotonic() < bucket.borrow_after:
         return False
     await borrow(board, name, bucket)
-    return draw(bucket, rank)
+    if draw(bucket, rank):
+        return True
+    log_refusal(board, organisation, bucket, rank)
+    return False
+
+
+def log_refusal(board, organisation, bucket, rank):
+    """Log what this host knew of a rate when it refused a request for it."""
+    others = board.find_others(organisation.name)
+    board.log_change(
+        "rate-used-up",
+        organisation=organisation.name,
+        rate=organisation.rate,
+        rank=rank,
+        tokens=round(bucket.tokens + bucket.borrowed, 2),
+        fullness=round(bucket.fullness, 2),
+        demand=round(bucket.demand, 1),
+        heard=len(others.heard),
+        unheard=len(others.unheard),
+    )
 
 
 def return_token(board, name):
--- a/egretlift/transport/exchange.py
+++ b/egretlift/transport/exchange.py
@@ -46,7 +46,7 @@
         self.fields = {name.lower(): value for name, value in headers}
         self.body = body
 
-    def fields_in_order(self):
+    def header_map(self):
         """Return the headers as a multi-valued mapping."""
         return CIMultiDict(self.headers)
 
