--- a/egretlift/daemon/allocation.py
+++ b/egretlift/daemon/allocation.py
@@ -5,6 +5,7 @@
 import anyio
 
 from egretlift.blackboard import count
+from egretlift.daemon.messages import send_control
 from egretlift.daemon.tasks import start_task
 from egretlift.daemon.zone import find_allocator, my_lease
 from egretlift.quotas import (
@@ -22,7 +23,7 @@
     unpack_allocation,
     unpack_request,
 )
-from egretlift.transport.control import ControlFailed, call_control
+from egretlift.transport.control import ControlFailed
 
 TICK_S = 0.02
 # Without open requests no call waits for a token and only renewals fall due; a call
@@ -74,24 +75,13 @@
 
 async def ask_member(board, holder, request):
     """Send a request to the holder and return its allocation, or None."""
-    settings = board.settings
     member = board.members.members.get(holder)
     if member is None:
         return None
-    message = pack_request(request)
-    count(board, "control_bytes", "sent", message.ByteSize())
     try:
-        reply = await call_control(
-            board.channels,
-            settings.mesh_secret,
-            (member.address, member.control_port),
-            "Allocate",
-            message,
-            settings.gossip_timeout_s,
-        )
+        reply = await send_control(board, member, "Allocate", pack_request(request))
     except ControlFailed:
         return None
-    count(board, "control_bytes", "received", reply.ByteSize())
     return unpack_allocation(request, reply)
 
 
--- a/egretlift/daemon/gossip.py
+++ b/egretlift/daemon/gossip.py
@@ -15,6 +15,7 @@
     staleness,
 )
 from egretlift.daemon.announcements import publish_self
+from egretlift.daemon.messages import send_control
 from egretlift.daemon.tasks import start_task
 from egretlift.daemon.watch import take_configuration
 from egretlift.daemon.zone import adopt_gossiped_lease, take_holders
@@ -38,7 +39,7 @@
     unpack_members,
     unpack_objects,
 )
-from egretlift.transport.control import ControlFailed, call_control
+from egretlift.transport.control import ControlFailed
 from egretlift.transport.generated import control_pb2 as pb
 
 MEMBERS_PER_MESSAGE = 32
@@ -240,22 +241,6 @@
     return reply
 
 
-async def send_control(board, member, name, request, timeout_s=None):
-    """Send a control message to a member and return the reply."""
-    settings = board.settings
-    count(board, "control_bytes", "sent", request.ByteSize())
-    reply = await call_control(
-        board.channels,
-        settings.mesh_secret,
-        (member.address, member.control_port),
-        name,
-        request,
-        timeout_s or settings.gossip_timeout_s,
-    )
-    count(board, "control_bytes", "received", reply.ByteSize())
-    return reply
-
-
 async def exchange(board, member, objects=()):
     """Carry out one exchange with a member; return whether it answered."""
     count(board, "gossip_exchanges")
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -8,6 +8,7 @@
 
 from egretlift.blackboard import count
 from egretlift.configuration import find_quota
+from egretlift.daemon.messages import send_control
 from egretlift.daemon.tasks import start_task
 from egretlift.errors import ConflictError, EgretliftError, NotFound
 from egretlift.events import record_event
@@ -24,7 +25,7 @@
     zone_lease,
     zone_shares,
 )
-from egretlift.transport.control import ControlFailed, call_control
+from egretlift.transport.control import ControlFailed
 from egretlift.transport.generated import control_pb2 as pb
 
 TICK_S = 0.1
@@ -229,14 +230,7 @@
         epoch=epoch,
     )
     try:
-        reply = await call_control(
-            board.channels,
-            settings.mesh_secret,
-            (member.address, member.control_port),
-            "Confirm",
-            question,
-            settings.gossip_timeout_s,
-        )
+        reply = await send_control(board, member, "Confirm", question)
     except ControlFailed:
         return
     if reply.confirmed and epoch:
--- /dev/null
+++ b/egretlift/transport/connection.py
@@ -0,0 +1,238 @@
+"""One client connection to an upstream or another daemon.
+
+An upstream may answer late, twice, or with bytes that are no answer. An answer is
+therefore taken only if its identifier is the one of the request, and a connection
+that received anything else is closed after the current request.
+"""
+
+import asyncio
+import socket
+import time
+
+import httptools
+from multidict import CIMultiDict
+
+# Unacknowledged bytes or a silent idle peer end a connection after this time.
+USER_TIMEOUT_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# An idle connection is closed this much before the peer would close it.
+IDLE_MARGIN_S = 1.0
+IDLE_DEFAULT_S = 4.0
+ANSWER_BYTES_MAXIMUM = 32 * 1024 * 1024
+NO_BODY_STATUSES = (204, 304)
+
+
+class ExchangeBroken(Exception):
+    """The request was sent, but no whole answer came; it may have run."""
+
+
+class Received:
+    """A whole answer; header names are in lower case in ``fields``."""
+
+    __slots__ = ("body", "fields", "headers", "status")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.fields = {name.lower(): value for name, value in headers}
+        self.body = body
+
+    def header_map(self):
+        """Return the headers as a multi-valued mapping."""
+        return CIMultiDict(self.headers)
+
+
+class Connection(asyncio.Protocol):
+    """One connection on which requests follow one another."""
+
+    __slots__ = (
+        "accepts",
+        "body",
+        "body_bytes",
+        "closed",
+        "eof",
+        "framed",
+        "head_only",
+        "headers",
+        "idle_limit_s",
+        "idle_since",
+        "in_answer",
+        "parser",
+        "reusable",
+        "transport",
+        "waiter",
+    )
+
+    def __init__(self):
+        self.transport = None
+        self.waiter = None
+        self.closed = False
+        self.eof = False
+        self.reusable = True
+        self.idle_since = 0.0
+        self.idle_limit_s = IDLE_DEFAULT_S
+        self.accepts = None
+        self.head_only = False
+        self.start_answer()
+        self.parser = httptools.HttpResponseParser(self)
+
+    def start_answer(self):
+        """Forget the previous answer."""
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+        self.framed = False
+        self.in_answer = False
+
+    def connection_made(self, transport):
+        """Set the socket's options."""
+        self.transport = transport
+        set_socket_options(transport.get_extra_info("socket"))
+
+    def data_received(self, data):
+        """Parse bytes; any that belong to no request end the connection."""
+        if self.waiter is None:
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail("upgrade")
+        except httptools.HttpParserError as error:
+            self.fail(f"malformed answer: {error}")
+
+    def eof_received(self):
+        """Complete an answer whose end is the end of its connection."""
+        self.eof = True
+        if self.waiter is not None and self.in_answer and not self.framed:
+            self.reusable = False
+            self.complete()
+        return False
+
+    def connection_lost(self, error):
+        """Fail the request that is waiting for its answer."""
+        self.closed = True
+        self.fail(f"connection lost: {error or 'closed'}")
+
+    def on_message_begin(self):
+        """Start an answer."""
+        if self.waiter is None or self.waiter.done():
+            self.reusable = False
+        self.start_answer()
+        self.in_answer = True
+
+    def on_header(self, name, value):
+        """Collect a header."""
+        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self):
+        """Note whether the answer states its length."""
+        low = [name.lower() for name, _ in self.headers]
+        self.framed = "content-length" in low or "transfer-encoding" in low
+        if self.parser.get_status_code() in NO_BODY_STATUSES or self.head_only:
+            self.framed = True
+        if self.head_only:
+            self.reusable = False
+            self.complete()
+
+    def on_body(self, data):
+        """Collect a part of the body."""
+        self.body_bytes += len(data)
+        if self.body_bytes > ANSWER_BYTES_MAXIMUM:
+            self.fail("answer too large")
+            return
+        self.body.append(data)
+
+    def on_message_complete(self):
+        """Deliver the answer if it belongs to the request."""
+        if self.parser.get_status_code() < 200:
+            return
+        if not self.parser.should_keep_alive():
+            self.reusable = False
+        self.complete()
+
+    def complete(self):
+        """Hand the collected answer over, or drop it and wait for the next one."""
+        waiter = self.waiter
+        self.in_answer = False
+        if waiter is None or waiter.done():
+            # A second answer in the same bytes as the first one.
+            self.reusable = False
+            return
+        received = Received(
+            self.parser.get_status_code(), self.headers, b"".join(self.body)
+        )
+        if not self.accepts(received.fields):
+            self.reusable = False
+            return
+        self.read_idle_limit(received.fields)
+        waiter.set_result(received)
+
+    def read_idle_limit(self, fields):
+        """Keep the connection idle no longer than its peer does."""
+        for part in fields.get("keep-alive", "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.strip().isdigit():
+                self.idle_limit_s = max(0.0, int(value) - IDLE_MARGIN_S)
+
+    def fail(self, reason):
+        """End the connection and the request that waits."""
+        waiter, self.waiter = self.waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(ExchangeBroken(reason))
+        self.abort()
+
+    def abort(self):
+        """Close the connection at once."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def request(self, data, accepts, head_only):
+        """Send one request and return its answer.
+
+        Parameters
+        ----------
+        data : bytes
+            The whole request.
+        accepts : callable
+            Takes the answer's headers and returns whether it is for this request.
+        head_only : bool
+            Whether the answer has no body whatever its headers say.
+        """
+        self.accepts = accepts
+        self.head_only = head_only
+        self.start_answer()
+        waiter = self.waiter = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        try:
+            return await waiter
+        except BaseException:
+            self.abort()
+            raise
+        finally:
+            self.waiter = None
+            self.idle_since = time.monotonic()
+
+    def can_serve(self, now):
+        """Return whether a further request may be sent."""
+        idle_s = now - self.idle_since
+        return (
+            self.reusable
+            and not self.closed
+            and not self.eof
+            and not self.transport.is_closing()
+            and idle_s < self.idle_limit_s
+        )
+
+
+def set_socket_options(sock):
+    """Let a connection whose peer is gone end soon."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
