--- a/egretlift/membership/tests/test_upstream.py
+++ b/egretlift/membership/tests/test_upstream.py
@@ -9,6 +9,7 @@
     accept_announcement,
     leave,
     may_serve,
+    refusal_reason,
     restore,
 )
 
@@ -100,6 +101,7 @@
         accept_announcement(state, beat(), "checkout", 0.0)
         state.silent = True
         self.assertFalse(may_serve(state))
+        self.assertEqual(refusal_reason(state), "unreachable")
         accept_announcement(state, beat(sequence=2), "checkout", 1.0)
         self.assertTrue(may_serve(state))
 
--- a/egretlift/membership/upstream.py
+++ b/egretlift/membership/upstream.py
@@ -142,6 +142,17 @@
         state.status = DRAINING
 
 
+def refusal_reason(state):
+    """Return why the upstream gets no work; see `may_serve`.
+
+    Examples
+    --------
+    >>> refusal_reason(UpstreamState())
+    'absent'
+    """
+    return "unreachable" if state.silent else state.status
+
+
 def may_serve(state):
     """Return whether the upstream may get work."""
     return state.status == READY and not state.silent
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -7,7 +7,7 @@
 
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import may_start, record_end
-from egretlift.membership.upstream import may_serve
+from egretlift.membership.upstream import may_serve, refusal_reason
 from egretlift.outcome import Outcome
 from egretlift.retries.arrivals import pay_repeat, record_first, record_repeat
 from egretlift.serving.parents import Run, choose_expiry
@@ -33,7 +33,7 @@
     ``reached`` of the answer says whether the request was sent to the upstream.
     """
     if not may_serve(board.upstream):
-        return refuse(board.upstream.status if board.upstream.current else "absent")
+        return refuse(refusal_reason(board.upstream))
     now = time.monotonic()
     if not call.is_inner:
         pace = board.find_pace(call.route)
@@ -86,7 +86,7 @@
     upstream = board.upstream
     now = time.monotonic()
     if not may_serve(upstream):
-        return refuse(upstream.status)
+        return refuse(refusal_reason(upstream))
     run = Run(call, choose_expiry(board.runs, call.deadline))
     remaining_s = run.expires_at - now
     if remaining_s < SHORTEST_S:
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -13,7 +13,6 @@
 
 # An acknowledgement waits this long for the store to keep that an upstream leaves.
 STORE_WAIT_S = 0.6
-HEARTBEAT_BYTES = 65536
 
 
 async def handle_readiness(board, request):
