--- a/egretlift/membership/tests/test_upstream.py
+++ b/egretlift/membership/tests/test_upstream.py
@@ -74,7 +74,7 @@
             with self.subTest(name):
                 state = UpstreamState()
                 accept_announcement(state, beat(), "checkout", 0.0)
-                self.assertTrue(leave(state, "i-1"))
+                self.assertTrue(leave(state, "i-1", 0.5))
                 self.assertFalse(may_serve(state))
                 accept_announcement(state, late, "checkout", 1.0)
                 self.assertEqual(may_serve(state), expected)
@@ -95,6 +95,20 @@
                 accept_announcement(state, announcement, "checkout", 0.0)
                 self.assertEqual(may_serve(state), expected)
 
+    def test_leave_that_is_heard_first(self):
+        """Guards against an upstream revived by a late heartbeat after a restart."""
+        for name, beats, now, expected in (
+            ("late heartbeat", [beat(sequence=9)], 1.0, False),
+            ("successor", [beat(upstream_id="i-2", born=300)], 1.0, True),
+            ("same id much later", [beat(sequence=1, born=900)], 60.0, True),
+        ):
+            with self.subTest(name):
+                state = UpstreamState()
+                self.assertFalse(leave(state, "i-1", 0.0))
+                for announcement in beats:
+                    accept_announcement(state, announcement, "checkout", now)
+                self.assertEqual(may_serve(state), expected)
+
     def test_silence_ends_with_a_heartbeat(self):
         """Guards against an upstream that is left out for good after a reset."""
         state = UpstreamState()
--- a/egretlift/membership/upstream.py
+++ b/egretlift/membership/upstream.py
@@ -11,6 +11,9 @@
 GONE = "gone"
 # Identifiers of upstreams that left, kept so that late heartbeats revive none.
 LEFT_MAXIMUM = 64
+# Without a heartbeat before it, a leave does not say which start of the upstream it
+# ends. Heartbeats under its identifier are late ones for this long, in seconds.
+LEFT_UNKNOWN_S = 20.0
 
 
 class Announcement:
@@ -51,9 +54,12 @@
         Whether the upstream refused a connection after its last heartbeat.
     left : dict of str to int
         Birth of each upstream that left, by identifier, oldest first.
+    left_unknown : dict of str to float
+        Monotonic time until which heartbeats count as late, by identifier, of
+        upstreams that left before they were heard.
     """
 
-    __slots__ = ("current", "heard_at", "left", "silent", "status")
+    __slots__ = ("current", "heard_at", "left", "left_unknown", "silent", "status")
 
     def __init__(self):
         self.current = None
@@ -61,6 +67,7 @@
         self.heard_at = float("-inf")
         self.silent = False
         self.left = {}
+        self.left_unknown = {}
 
 
 def accept_announcement(state, announcement, service, now):
@@ -75,7 +82,7 @@
     >>> beat = Announcement("i-1", "checkout", "10.0.0.1:80", 8, "ready", 100, 1)
     >>> accept_announcement(state, beat, "checkout", 0.0)
     True
-    >>> leave(state, "i-1")
+    >>> leave(state, "i-1", 0.5)
     True
     >>> accept_announcement(state, beat, "checkout", 1.0)
     False
@@ -85,6 +92,8 @@
     left_born = state.left.get(announcement.upstream_id)
     if left_born is not None and announcement.born <= left_born:
         return False
+    if now < state.left_unknown.get(announcement.upstream_id, now):
+        return False
     current = state.current
     if current is not None and order(announcement) <= order(current):
         return False
@@ -106,15 +115,18 @@
     return (announcement.born, announcement.sequence)
 
 
-def leave(state, upstream_id):
+def leave(state, upstream_id, now):
     """Note that an upstream has left and return whether it was the current one."""
     current = state.current
     known = current is not None and current.upstream_id == upstream_id
-    state.left[upstream_id] = current.born if known else 0
-    while len(state.left) > LEFT_MAXIMUM:
-        del state.left[next(iter(state.left))]
     if known:
+        state.left[upstream_id] = current.born
         state.status = GONE
+    elif upstream_id not in state.left:
+        state.left_unknown[upstream_id] = now + LEFT_UNKNOWN_S
+    for names in (state.left, state.left_unknown):
+        while len(names) > LEFT_MAXIMUM:
+            del names[next(iter(names))]
     return known
 
 
--- a/egretlift/quotas/demand.py
+++ b/egretlift/quotas/demand.py
@@ -15,7 +15,7 @@
 IDLE_WEIGHT = 0.5
 # Parts of the tolerance for rates over all hosts that are used. What is left of the
 # overage is for reports that are lost or late, whose effect grows with the rate.
-OVERAGE_SHARE = 0.4
+OVERAGE_SHARE = 0.1
 SLACK_SHARE = 0.9
 # Tokens that a borrower asks for: the demand of this time, at least one.
 BORROWED_DEMAND_S = 0.5
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -30,7 +30,7 @@
         return web.Response(status=404)
     upstream_id = path[len(UPSTREAMS_PATH) :]
     if request.method == "DELETE":
-        left = leave(board.upstream, upstream_id)
+        left = leave(board.upstream, upstream_id, time.monotonic())
         board.log_change("upstream-left", upstream=upstream_id, current=left)
         if left:
             await close_upstream(board, "gone")
