Call choose_part directly, and keep one list of the route columns in tests

A wrapper in serving/checks.py only passed its arguments on; the columns stood in a test and in its stand-in. Behaviour and assertions are unchanged.

--- a/egretlift/platform/tests/test_decoding.py
+++ b/egretlift/platform/tests/test_decoding.py
@@ -7,6 +7,7 @@
 from egretlift.platform.bootfile import decode_settings
 from egretlift.platform.configuration import decode_configuration
 from egretlift.platform.heartbeats import decode_heartbeat
+from standins.sidecars import COLUMNS
 
 SETTINGS = {
     "node_name": "sidecar-1",
@@ -25,19 +26,7 @@
     "platform": {"address": "10.2.0.1:6"},
     "something_new": 1,
 }
-ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "path_prefix",
-    "kind",
-    "timeout_s",
-    "target_latency_s",
-    "priority",
-    "max_attempts",
-    "anonymous",
-    "service",
-    "traffic_split",
-]
+ROUTE_COLUMNS = [*COLUMNS, "traffic_split"]
 
 
 def make_row(kind="idempotent", service="checkout", split=None):
--- a/egretlift/serving/checks.py
+++ b/egretlift/serving/checks.py
@@ -1,7 +1,7 @@
 """Checks of a request against the configuration in force."""
 
 from egretlift.outcome import Refusal
-from egretlift.serving.routes import choose_part, find_route
+from egretlift.serving.routes import find_route
 
 # Ranks of a route, below which an organisation's rank comes.
 RANKS = 10
@@ -64,8 +64,3 @@
     """Return the monotonic time by which a request must be answered."""
     limits = [limit for limit in (route.timeout_s, waits_s) if limit is not None]
     return received_at + min(limits, default=60.0)
-
-
-def choose_service(route, random):
-    """Return the service that is to run a request."""
-    return choose_part(route, random)
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -9,6 +9,7 @@
 from egretlift.serving.offers import serve_call
 from egretlift.serving.parents import find_parent
 from egretlift.serving.refusals import choose_return_s, refuse, speaks_of_load
+from egretlift.serving.routes import choose_part
 from egretlift.sidecar.bodies import read_body
 from egretlift.sidecar.delivery import deliver
 from egretlift.sidecar.metrics import make_histogram, observe
@@ -91,7 +92,7 @@
         received_at=started,
         deadline=checks.find_deadline(started, route, waits_s),
         route=route.name,
-        service=checks.choose_service(route, board.random),
+        service=choose_part(route, board.random),
         organisation=organisation.name if organisation else None,
         rank=checks.rank_of(route, organisation),
         route_rank=route.rank,
