Use a demand for the own part of a rate only once the others know it

Cause: every host divided by the demand that it had just measured, while the others still had the one before; with an organisation that asks for 8 times its rate all hosts grow at once, and the parts add up to more than the rate.

--- a/egretlift/quotas/demand.py
+++ b/egretlift/quotas/demand.py
@@ -15,8 +15,10 @@
 IDLE_WEIGHT = 0.5
 # Parts of the tolerance for rates over all hosts that are used. What is left of the
 # overage is for reports that are lost or late, whose effect grows with the rate.
-OVERAGE_SHARE = 0.1
-SLACK_SHARE = 0.9
+OVERAGE_SHARE = 0.3
+HELD_SLACK_SHARE = 0.6
+# Earned within a window: the parts of hosts with small demand vary, and add up to less.
+EARNED_SLACK_SHARE = 0.3
 # Tokens that a borrower asks for: the demand of this time, at least one.
 BORROWED_DEMAND_S = 0.5
 # After a fruitless attempt an organisation's tokens are not asked for again so soon.
@@ -24,6 +26,9 @@
 # Parts of the tokens that requests of rank 0, 1, and 2 or more leave to others.
 RESERVE_SHARES = (0.0, 0.1, 0.25)
 DEMAND_SMOOTHING_S = 3.0
+# Reports whose smallest demand a host uses for itself and whose largest it announces.
+# Parts then add up to no more than the rate while reports are this many intervals late.
+SETTLING_REPORTS = 2
 
 
 class RateBucket:
@@ -41,8 +46,12 @@
         Smoothed requests a second.
     counted : int
         Requests since the demand was last smoothed.
-    reported, reported_tokens : float
-        Demand and tokens, borrowed ones included, that this host reported last.
+    settled : float
+        Demand that this host uses for its own part: the smallest of the last reports.
+    reported_tokens : float
+        Tokens, borrowed ones included, that this host reported last.
+    recent : list of float
+        Demand at the last reports, the latest last.
     borrow_after : float
         Monotonic time before which no tokens are borrowed.
     """
@@ -54,8 +63,9 @@
         "demand",
         "filled_at",
         "fullness",
-        "reported",
+        "recent",
         "reported_tokens",
+        "settled",
         "tokens",
     )
 
@@ -65,7 +75,8 @@
         self.fullness = 0.0
         self.demand = 0.0
         self.counted = 0
-        self.reported = 0.0
+        self.settled = 0.0
+        self.recent = [0.0] * SETTLING_REPORTS
         self.reported_tokens = 0.0
         self.filled_at = now
         self.borrow_after = now
@@ -137,9 +148,9 @@
     others : Others
     bounds : Bounds
     """
-    share = divide(bucket.reported, rate, others)[0]
+    share = divide(bucket.settled, rate, others)[0]
     factor = 1 + OVERAGE_SHARE * bounds.rate_overage
-    capacity = burst * factor + SLACK_SHARE * bounds.rate_slack
+    capacity = burst * factor + HELD_SLACK_SHARE * bounds.rate_slack
     held = sum(tokens for _, tokens in others.heard) + capacity * sum(others.unheard)
     room = capacity - held - bucket.reported_tokens
     if room >= 0:
@@ -149,7 +160,8 @@
         most = bucket.reported_tokens * capacity / (held + bucket.reported_tokens)
     elapsed_s = max(0.0, now - bucket.filled_at)
     bucket.filled_at = now
-    earned = rate * factor * share * elapsed_s
+    extra = EARNED_SLACK_SHARE * bounds.rate_slack / bounds.rate_window_s
+    earned = (rate * factor + extra) * share * elapsed_s
     bucket.borrowed = min(bucket.borrowed, most)
     bucket.tokens = min(most - bucket.borrowed, bucket.tokens + earned)
     near = sum(tokens for _, tokens in others.heard) + bucket.tokens + bucket.borrowed
@@ -207,10 +219,15 @@
 
 
 def report_bucket(bucket, elapsed_s):
-    """Update and return what this host reports: (demand, tokens)."""
-    bucket.reported = round(smooth_demand(bucket, elapsed_s), 2)
+    """Update and return what this host reports: (demand, tokens).
+
+    A host that is busy receives reports late. If every host used its own growth at
+    once, each would divide by a sum that is too small.
+    """
+    bucket.recent = [*bucket.recent[1:], round(smooth_demand(bucket, elapsed_s), 2)]
+    bucket.settled = min(bucket.recent)
     bucket.reported_tokens = round(bucket.tokens + bucket.borrowed, 1)
-    return bucket.reported, bucket.reported_tokens
+    return max(bucket.recent), bucket.reported_tokens
 
 
 def smooth_demand(bucket, elapsed_s):
--- a/egretlift/quotas/tests/rate_mesh.py
+++ b/egretlift/quotas/tests/rate_mesh.py
@@ -52,6 +52,9 @@
         self.cut_at = 0.0
         # Part of the reports that reach no other host.
         self.loss = 0.0
+        # Seconds until the others read a report, as on busy hosts.
+        self.lag_s = 0.0
+        self.unread = []
         self.admitted = []
         self.refused = []
         self.now = 0.0
@@ -79,6 +82,9 @@
 
     def fill(self, host):
         """Bring a bucket up to now."""
+        while self.unread and self.unread[0][0] <= self.now:
+            _, reporter, report = self.unread.pop(0)
+            self.hear(reporter, report)
         bucket = self.buckets[host]
         others = self.others(host)
         fill(bucket, self.now, self.rate, self.burst, others, self.bounds)
@@ -90,20 +96,24 @@
         report = report_bucket(bucket, elapsed_s)
         if self.random.random() < self.loss:
             return
-        self.seen[host in self.cut][host] = report
-        if not self.cut:
-            self.seen[True][host] = self.seen[False][host] = report
+        self.unread.append((self.now + self.lag_s, host, report))
         near = [
             h
             for h in range(len(self.buckets))
             if h != host and not self.is_apart(host, h)
         ]
-        parts = divide(bucket.reported, self.rate, self.others(host))[1:]
+        parts = divide(bucket.settled, self.rate, self.others(host))[1:]
         for other, part in zip(near, parts, strict=True):
             # Only a host that has reported since agrees on its part.
             if (other in self.cut) == (host in self.cut):
                 self.parts[host][other] = part
 
+    def hear(self, host, report):
+        """Let the hosts on a host's side of a cut read its report."""
+        self.seen[host in self.cut][host] = report
+        if not self.cut:
+            self.seen[True][host] = self.seen[False][host] = report
+
     def arrive(self, host, rank=0):
         """Let a request arrive at a host and note whether it is admitted."""
         self.fill(host)
--- a/egretlift/quotas/tests/test_demand.py
+++ b/egretlift/quotas/tests/test_demand.py
@@ -59,6 +59,28 @@
                     mesh.run(3, weights, 2.0 * 279)
                 self.assertLessEqual(mesh.busiest_window(), mesh.allowed())
 
+    def test_bound_holds_while_busy_hosts_read_reports_late(self):
+        """Guards against hosts that use their own growth before the others know it.
+
+        The load is an organisation that asks for many times its rate from one moment
+        to the next, on hosts that are busy with it.
+        """
+        for lag_s, load in ((0.0, 8), (0.3, 8), (0.6, 8), (0.6, 2)):
+            with self.subTest(lag_s=lag_s, load=load):
+                mesh = RateMesh(14, 279, 279)
+                mesh.lag_s = lag_s
+                mesh.run(10, [1] * 14, 0.6 * 279)
+                mesh.run(7, [1] * 14, load * 279)
+                self.assertLessEqual(mesh.busiest_window(), mesh.allowed())
+
+    def test_whole_rate_is_used_under_lasting_excess(self):
+        """Guards against parts of the rate that settle for much less than the whole."""
+        mesh = RateMesh(12, 62, 62)
+        mesh.run(15, EVEN, 3 * 62)
+        mesh.admitted.clear()
+        mesh.run(15, EVEN, 3 * 62)
+        self.assertGreater(len(mesh.admitted), 0.97 * 15 * 62)
+
     def test_bound_holds_with_hosts_cut_off(self):
         """Guards against a cut host and the others using the same tokens."""
         mesh = RateMesh(12, 62, 62)
