--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -176,7 +176,7 @@
         if received.status < 500:
             return lose("answer-not-sealed", 502)
         return lose("upstream-failed", 502)
-    headers = select_answer_headers(received.header_map())
+    headers = select_answer_headers(received.headers)
     outcome = Outcome.FAILED_WAS_RUN if received.status >= 500 else Outcome.WHOLE
     answer = Answer(outcome, received.status, headers, received.body)
     answer.reason = "upstream-failed" if received.status >= 500 else ""
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -124,6 +124,7 @@
     """Return the candidate that a call is offered to, or None."""
     now = time.monotonic()
     settings = board.settings
+    interval_s = board.report_interval_s()
     candidates = []
     if settings.host not in tried and board.may_execute(call.service):
         candidates.append(
@@ -138,9 +139,9 @@
             )
         )
     for host, peer in board.peers.items():
-        if host in tried:
+        if peer.entry.service != call.service or host in tried:
             continue
-        if not may_call(peer, call.service, now, board.report_interval_s()):
+        if not may_call(peer, call.service, now, interval_s):
             continue
         candidates.append(
             Candidate(
@@ -215,7 +216,7 @@
     load = decode_load(fields.get(LOAD_HEADER))
     if load is not None:
         set_load(peer, load, time.monotonic())
-    headers = select_answer_headers(received.header_map())
+    headers = select_answer_headers(received.headers)
     outcome = read_outcome(fields.get(OUTCOME_HEADER))
     answer = Answer(outcome, received.status, headers, received.body)
     answer.reason = fields.get(REASON_HEADER, "")
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -21,6 +21,8 @@
 REPORTS_PER_SECOND = 200
 # Age of a report, in intervals, up to which it counts for the division of rates.
 FRESH_REPORTS = 1.6
+# What other hosts use of a rate is looked up anew after this time.
+OTHERS_AGE_S = 0.05
 
 
 class Board:
@@ -43,6 +45,8 @@
         Other hosts by name.
     buckets : dict of str to RateBucket
         Tokens by organisation.
+    others : dict of str to (float, Others)
+        Other hosts' use of an organisation's rate, and when it was looked up.
     borrowing : dict of str to Event
         Set when the borrowing of an organisation's tokens that is under way ends.
     own_failed : float
@@ -78,6 +82,7 @@
         "hosts_listed",
         "lines",
         "open_requests",
+        "others",
         "own_failed",
         "own_failed_at",
         "own_revision",
@@ -120,6 +125,7 @@
         self.arrivals = Arrivals(settings.bounds.repeat_window_s)
         self.peers = {}
         self.buckets = {}
+        self.others = {}
         self.borrowing = {}
         self.upstream_pool = Pool()
         self.peer_pool = Pool()
@@ -261,37 +267,43 @@
         )
 
     def find_others(self, name):
-        """Return what the other hosts use of an organisation's rate."""
+        """Return what the other hosts use of a rate, as of a moment ago at most."""
+        now = time.monotonic()
+        found = self.others.get(name)
+        if found is None or now - found[0] > OTHERS_AGE_S:
+            found = self.others[name] = now, self.look_up_others(name, now)[0]
+        return found[1]
+
+    def find_sharing(self, now):
+        """Return the peers whose last report is recent enough for rates.
+
+        A host that misses a single report keeps its part, which harms nobody.
+        """
+        oldest = now - FRESH_REPORTS * self.report_interval_s()
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.heard_at is not None and peer.heard_at > oldest
+        ]
+
+    def look_up_others(self, name, now):
+        """Return what the other hosts use of a rate, and those that are heard."""
         equal = 1 / (1 + len(self.peers))
-        others = Others([], [])
-        for peer in self.peers.values():
-            if self.shares_rates(peer):
-                others.heard.append(peer.report.demand.get(name, (0.0, 0.0)))
-            else:
-                others.unheard.append(peer.parts.get(name, equal))
-        return others
+        heard = self.find_sharing(now)
+        silent = set(self.peers.values()).difference(heard)
+        demands = [peer.report.demand.get(name, (0.0, 0.0)) for peer in heard]
+        return Others(demands, [peer.parts.get(name, equal) for peer in silent]), heard
 
     def note_parts(self, organisation, bucket):
         """Note the parts of a rate that the heard hosts have now."""
         name = organisation.name
-        others = self.find_others(name)
-        parts = divide(bucket.reported, organisation.rate, others)
-        heard = [peer for peer in self.peers.values() if self.shares_rates(peer)]
+        others, heard = self.look_up_others(name, time.monotonic())
+        parts = divide(bucket.settled, organisation.rate, others)
         for peer, part in zip(heard, parts[1:], strict=True):
             # Only a host that has reported since agrees on its part.
             if peer.heard_at > self.demand_before:
                 peer.parts[name] = part
 
-    def shares_rates(self, peer):
-        """Return whether the last report of a host is recent enough for rates.
-
-        A host that misses a single report keeps its part, which harms nobody.
-        """
-        longest_s = FRESH_REPORTS * self.report_interval_s()
-        return (
-            peer.heard_at is not None and time.monotonic() - peer.heard_at < longest_s
-        )
-
     def report_interval_s(self):
         """Return the seconds between two reports of a host."""
         return max(
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -95,8 +95,9 @@
 def find_lenders(board, name):
     """Return the peers that reported tokens of an organisation, most first."""
     found = []
-    for peer in board.peers.values():
-        if not board.shares_rates(peer) or time.monotonic() < peer.ejected_until:
+    now = time.monotonic()
+    for peer in board.find_sharing(now):
+        if now < peer.ejected_until:
             continue
         tokens = peer.report.demand.get(name, (0.0, 0.0))[1]
         if tokens >= LENT_MINIMUM:
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -10,7 +10,6 @@
 import time
 
 import httptools
-from multidict import CIMultiDict
 
 # Unacknowledged bytes or a silent idle peer end a connection after this time.
 USER_TIMEOUT_MS = 1500
@@ -33,16 +32,12 @@
 
     __slots__ = ("body", "fields", "headers", "status")
 
-    def __init__(self, status, headers, body):
+    def __init__(self, status, headers, fields, body):
         self.status = status
         self.headers = headers
-        self.fields = {name.lower(): value for name, value in headers}
+        self.fields = fields
         self.body = body
 
-    def header_map(self):
-        """Return the headers as a multi-valued mapping."""
-        return CIMultiDict(self.headers)
-
 
 class Connection(asyncio.Protocol):
     """One connection on which requests follow one another."""
@@ -53,6 +48,7 @@
         "body_bytes",
         "closed",
         "eof",
+        "fields",
         "framed",
         "head_only",
         "headers",
@@ -81,6 +77,7 @@
     def start_answer(self):
         """Forget the previous answer."""
         self.headers = []
+        self.fields = {}
         self.body = []
         self.body_bytes = 0
         self.framed = False
@@ -125,12 +122,14 @@
 
     def on_header(self, name, value):
         """Collect a header."""
-        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        name, value = name.decode("latin-1"), value.decode("latin-1")
+        self.headers.append((name, value))
+        self.fields[name.lower()] = value
 
     def on_headers_complete(self):
         """Note whether the answer states its length."""
-        low = [name.lower() for name, _ in self.headers]
-        self.framed = "content-length" in low or "transfer-encoding" in low
+        fields = self.fields
+        self.framed = "content-length" in fields or "transfer-encoding" in fields
         if self.parser.get_status_code() in NO_BODY_STATUSES or self.head_only:
             self.framed = True
         if self.head_only:
@@ -162,7 +161,10 @@
             self.reusable = False
             return
         received = Received(
-            self.parser.get_status_code(), self.headers, b"".join(self.body)
+            self.parser.get_status_code(),
+            self.headers,
+            self.fields,
+            b"".join(self.body),
         )
         if not self.accepts(received.fields):
             self.reusable = False
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -120,7 +120,7 @@
     answer = Answer(
         Outcome.WHOLE,
         response.status,
-        select_answer_headers(response.headers),
+        select_answer_headers(response.headers.items()),
         whole,
     )
     if whole is None:
--- a/egretlift/transport/messages.py
+++ b/egretlift/transport/messages.py
@@ -223,11 +223,11 @@
 
 
 def select_answer_headers(headers):
-    """Return the headers that may travel on with an answer."""
+    """Return the headers, in pairs, that may travel on with an answer."""
     return [
         (name, value)
-        for name, value in headers.items()
-        if name.lower() not in HOP_BY_HOP and not name.lower().startswith("egretlift-")
+        for name, value in headers
+        if (low := name.lower()) not in HOP_BY_HOP and not low.startswith("egretlift-")
     ]
 
 
