--- a/egretlift/identity/context.py
+++ b/egretlift/identity/context.py
@@ -90,17 +90,7 @@
 
 def list_fields(context):
     """Return the fields of a context in the order of the payload."""
-    return [
-        context.call_id,
-        context.organisation,
-        int(context.priority),
-        context.remaining_s,
-        context.retries,
-        context.depth,
-        context.identifier,
-        context.origin_host,
-        context.hop,
-    ]
+    return [getattr(context, name) for name in context.__slots__]
 
 
 def compute_signature(secret, label, data):
@@ -175,36 +165,30 @@
 
 def read_fields(fields):
     """Return a context from the list in a payload."""
-    if type(fields) is not list or len(fields) != 9 or not check_fields(*fields):
+    count = len(CallContext.__slots__)
+    if type(fields) is not list or len(fields) != count:
         raise ContextForged("call context has unexpected fields", REMEDY)
-    fields[2] = PRIORITIES[fields[2]]
-    return CallContext(*fields)
-
-
-def check_fields(
-    call_id,
-    organisation,
-    priority,
-    remaining_s,
-    retries,
-    depth,
-    identifier,
-    origin_host,
-    hop,
-):
-    """Return whether all values have the types and ranges of a context."""
+    context = CallContext(*fields)
+    if not check_fields(context):
+        raise ContextForged("call context has unexpected fields", REMEDY)
+    context.priority = PRIORITIES[context.priority]
+    return context
+
+
+def check_fields(context):
+    """Return whether all values, the priority as a number, are those of a context."""
+    numbers = (context.priority, context.retries, context.depth)
+    texts = (context.call_id, context.origin_host, context.hop)
+    optional = (context.organisation, context.identifier)
     return (
-        type(call_id) is type(origin_host) is str
-        and hop in HOPS
-        and (organisation is None or type(organisation) is str)
-        and (identifier is None or type(identifier) is str)
-        and type(priority) is type(retries) is type(depth) is int
-        and 0 <= priority < len(PRIORITIES)
-        and retries >= 0
-        and depth >= 0
-        and type(remaining_s) in (int, float)
+        all(type(text) is str for text in texts)
+        and context.hop in HOPS
+        and all(text is None or type(text) is str for text in optional)
+        and all(type(number) is int and number >= 0 for number in numbers)
+        and context.priority < len(PRIORITIES)
+        and type(context.remaining_s) in (int, float)
         # A NaN or an infinite time would disable every later deadline check.
-        and -1e9 < remaining_s < 1e9
+        and -1e9 < context.remaining_s < 1e9
     )
 
 
