--- a/egretlift/retries/arrivals.py
+++ b/egretlift/retries/arrivals.py
@@ -8,11 +8,11 @@
 BINS = 10
 # Parts of the ratio and of the slack that are spent here; the rest is for windows
 # that slide between bins, and for calls whose parent is not known to be a repeat.
-RATIO_SHARE = 0.7
+RATIO_SHARE = 0.8
 SLACK_SHARE = 0.5
-# Part of the budget that calls of upstreams may use. Where most calls fail, one of
-# several calls that a request needs is seldom worth a repeat.
-INNER_SHARE = 0.6
+# Part of the budget that calls of upstreams may use; the rest is for requests of
+# callers, of which each repeat that succeeds is one more that is served.
+INNER_SHARE = 0.8
 
 
 class Arrivals:
