Remove the entries of hosts that are gone for good

Cause: only a daemon's own stop removed its entry, so hosts that lost power for good stayed in the store, got reports for ever and kept a part of every rate. Now any daemon removes an entry after ten minutes without a report, under its revision; a host that finds its entry missing, by a watch or a list, writes it again.

--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -16,6 +16,8 @@
 UNHEARD_S = 3.0
 # A host that broke a connection is left out for this long, or until its next report.
 EJECTION_S = 1.0
+# The entry of a host that was not heard for this long is taken out of the store.
+RETENTION_S = 600.0
 REMEDY = "send the fields of a host with their types"
 
 
@@ -290,6 +292,18 @@
     )
 
 
+def find_abandoned(peers, now):
+    """Return the peers in the store that were not heard for a long time."""
+    oldest = now - RETENTION_S
+    return [
+        peer
+        for peer in peers.values()
+        if peer.revision
+        and peer.learned_at < oldest
+        and (peer.heard_at is None or peer.heard_at < oldest)
+    ]
+
+
 def eject(peer, now):
     """Leave a host out until its next report, or for a while."""
     peer.ejected_until = now + EJECTION_S
--- a/egretlift/membership/tests/test_peers.py
+++ b/egretlift/membership/tests/test_peers.py
@@ -14,6 +14,7 @@
     eject,
     encode_entry,
     encode_report,
+    find_abandoned,
     learn_report,
     learn_stored,
     may_call,
@@ -48,6 +49,26 @@
     return Report(make_entry(**changes), number, 7, Load(1, 8, 0, 0.05), {"n": (2, 3)})
 
 
+class TestAbandoned(unittest.TestCase):
+    """Which hosts are taken out of the store."""
+
+    def test_find_abandoned(self):
+        """Guards against entries of dead hosts that stay, and living ones that go."""
+        for name, revision, heard_at, now, expected in (
+            ("dead", 5, 10.0, 700.0, True),
+            ("never heard", 5, None, 700.0, True),
+            ("silent for a while", 5, 200.0, 700.0, False),
+            ("learned a moment ago", 5, None, 500.0, False),
+            ("not in the store", 0, 10.0, 700.0, False),
+        ):
+            with self.subTest(name=name):
+                peers = {}
+                learn_stored(peers, make_entry(), revision, 0.0, INTERVAL_S)
+                peers["b"].heard_at = heard_at
+                found = find_abandoned(peers, now)
+                self.assertEqual(bool(found), expected)
+
+
 class TestPeers(unittest.TestCase):
     """Which hosts may be called."""
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -47,6 +47,8 @@
         Tokens by organisation.
     others : dict of str to (float, Others)
         Other hosts' use of an organisation's rate, and when it was looked up.
+    entry_missing : bool
+        Whether somebody has taken this host's entry out of the store.
     borrowing : dict of str to Event
         Set when the borrowing of an organisation's tokens that is under way ends.
     own_failed : float
@@ -75,6 +77,7 @@
         "demand_before",
         "dialect",
         "entry_changed",
+        "entry_missing",
         "entry_stored",
         "fetch_due",
         "fetch_from",
@@ -139,6 +142,7 @@
         self.histograms = {}
         self.lines = {}
         self.entry_changed = anyio.Event()
+        self.entry_missing = False
         self.entry_stored = anyio.Event()
         self.counter_stored = -1
         self.report_due = anyio.Event()
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -23,7 +23,12 @@
 from egretlift.sidecar.metrics import handle_metrics
 from egretlift.sidecar.peers import handle_peer
 from egretlift.sidecar.reporting import fetch_configuration, send_reports
-from egretlift.sidecar.watching import follow_configuration, follow_hosts, keep_entry
+from egretlift.sidecar.watching import (
+    follow_configuration,
+    follow_hosts,
+    forget_hosts,
+    keep_entry,
+)
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.server import listen
 
@@ -38,6 +43,7 @@
     follow_configuration,
     follow_hosts,
     keep_entry,
+    forget_hosts,
     send_reports,
     fetch_configuration,
 )
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -8,7 +8,7 @@
 from egretlift.membership.peers import (
     decode_entry,
     encode_entry,
-    is_heard,
+    find_abandoned,
     learn_stored,
 )
 from egretlift.membership.upstream import restore
@@ -23,6 +23,8 @@
 # Pauses between calls to a store that does not serve: the first and the longest.
 PAUSE_S = 0.1
 PAUSE_MAXIMUM_S = 1.0
+# Interval at which a daemon looks for hosts that are gone for good.
+FORGET_INTERVAL_S = 60.0
 
 
 def adopt_configuration(board, document, source):
@@ -58,10 +60,7 @@
     now = time.monotonic()
     interval_s = board.report_interval_s()
     if found.spec is None:
-        peer = board.peers.get(found.name)
-        if peer is not None and not is_heard(peer, now, interval_s):
-            del board.peers[found.name]
-            board.log_change("host-removed", peer=found.name)
+        note_removed(board, found.name)
         return
     try:
         entry = decode_entry(found.spec.get("entry"))
@@ -77,6 +76,52 @@
         board.log_change("host-learned", peer=entry.host, source="store")
 
 
+def note_removed(board, name):
+    """Forget a host whose entry is gone, or write this host's own entry again."""
+    if name == board.settings.host:
+        if board.own_revision is not None and not board.stopping:
+            board.own_revision = None
+            board.entry_missing = True
+            board.entry_changed.set()
+            board.log_change("own-entry-missing")
+        return
+    peer = board.peers.get(name)
+    if peer is None:
+        return
+    # A host that is heard stays known, and writes its entry again.
+    peer.revision = 0
+    if not board.is_heard(peer):
+        del board.peers[name]
+        board.log_change("host-removed", peer=name)
+
+
+def note_absent(board, objects):
+    """Note the entries that were removed while no watch could tell."""
+    listed = {found.name for found in objects}
+    stored = [name for name, peer in board.peers.items() if peer.revision]
+    for name in [*stored, board.settings.host]:
+        if name not in listed:
+            note_removed(board, name)
+
+
+async def forget_hosts(board):
+    """Take hosts out of the store that were not heard for a long time.
+
+    Such a host may live behind a long cut; it writes its entry again as soon as it
+    sees that it is missing.
+    """
+    while True:
+        await anyio.sleep(FORGET_INTERVAL_S * (0.5 + board.random.random()))
+        for peer in find_abandoned(board.peers, time.monotonic()):
+            name = peer.entry.host
+            try:
+                await board.store.delete_object(HOST_KIND, name, peer.revision)
+            except PlatformUnavailable as error:
+                board.log_change("entry-not-removed", peer=name, cause=str(error))
+                break
+            board.log_change("entry-removed", peer=name, revision=peer.revision)
+
+
 async def follow(board, kind, take):
     """Keep up with the objects of a kind: a list, then watches."""
     pause_s = PAUSE_S
@@ -86,6 +131,7 @@
             if revision is None:
                 revision, objects = await board.store.list_objects(kind)
                 if kind == HOST_KIND:
+                    note_absent(board, objects)
                     board.hosts_listed.set()
             else:
                 revision, objects = await board.store.watch(kind, revision)
@@ -138,6 +184,9 @@
             board.entry_changed = anyio.Event()
     while True:
         entry, wanted = board.make_entry(), board.counter
+        if board.entry_missing:
+            board.entry_missing = False
+            stored = None
         if stored is None or not say_same(stored, entry):
             if not await write_entry(board, entry):
                 await anyio.sleep(PAUSE_MAXIMUM_S * (0.5 + board.random.random()))
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -224,6 +224,28 @@
 
         run_mesh(play)
 
+    def test_entry_that_was_removed(self):
+        """Guards against a host that others removed and never learn again."""
+
+        async def play(mesh):
+            for is_watched in (True, False):
+                kind, name = next(
+                    key for key in mesh.store.objects if "hosts" in key[0]
+                )
+                mesh.store.fault = "" if is_watched else "down"
+                await asyncio.sleep(0.3)
+                mesh.store.change(kind, name, None, deleted=True)
+                if not is_watched:
+                    mesh.store.forget_history()
+                mesh.store.fault = ""
+
+                async def is_stored(key=(kind, name)):
+                    return key in mesh.store.objects
+
+                await wait_for(is_stored)
+
+        run_mesh(play)
+
     def test_outage_of_the_store(self):
         """Guards against a stop of service without the store."""
 
