--- a/integration/test_recovery.py
+++ b/integration/test_recovery.py
@@ -8,14 +8,11 @@
 import sys
 import unittest
 
+from integration.capacity import BOOK, CAPACITY, READ, SERVICE_S, SLOTS, ZONES
 from integration.loads import run_loads
 from integration.meshes import make_load, prepare_mesh, run_mesh
 from standins.mesh import make_hosts, set_behaviour
 
-ZONES = {"a": 1, "b": 1, "c": 1}
-SLOTS = 15
-SERVICE_S = 0.3
-CAPACITY = len(ZONES) * SLOTS / SERVICE_S
 LOAD = 0.7
 SLOW_FACTOR = 10.0
 BEFORE_S = 4.0
@@ -60,16 +57,7 @@
 
 def run_trigger(policy, slow_s, seed=1):
     """Slow the deeper service for a time; return (attempts, start, lag)."""
-    read = {"name": "read", "path": "/calendar/{id}", "timeout_s": 2.0, "share": 0.7}
-    book = {
-        "name": "book",
-        "method": "POST",
-        "path": "/bookings/{id}",
-        "priority": "critical",
-        "identifier": "issued",
-        "timeout_s": 3.0,
-        "share": 0.3,
-    }
+    read, book = {**READ, "share": 0.7}, {**BOOK, "share": 0.3}
     with run_mesh(make_plan(policy)) as mesh:
         prepare_mesh(mesh, {"studio": (20000, 20000)})
         load = make_load(
--- a/integration/test_shedding.py
+++ b/integration/test_shedding.py
@@ -13,16 +13,12 @@
 import unittest
 from collections import Counter, defaultdict
 
+from integration.capacity import BOOK, CAPACITY, READ, SERVICE_S, SLOTS, ZONES
 from integration.loads import run_loads
 from integration.meshes import ROUTES, make_load, prepare_mesh, run_mesh
 from standins.mesh import make_hosts, set_behaviour
 
-ZONES = {"a": 1, "b": 1, "c": 1}
-SLOTS = 15
-SERVICE_S = 0.3
 UPLOAD_S = 0.6
-# Calls of SERVICE_S a second that all hosts together can run.
-CAPACITY = len(ZONES) * SLOTS / SERVICE_S
 # Parts of capacity asked for by bookings and uploads at every load.
 BOOKINGS = 0.3
 UPLOADS = 0.2
@@ -41,16 +37,6 @@
 
 def make_routes():
     """Return routes whose shares are parts of capacity for a multiplier of 1."""
-    read = {"name": "read", "path": "/calendar/{id}", "timeout_s": 2.0}
-    book = {
-        "name": "book",
-        "method": "POST",
-        "path": "/bookings/{id}",
-        "priority": "critical",
-        "identifier": "issued",
-        "timeout_s": 3.0,
-        "share": BOOKINGS,
-    }
     upload = {
         "name": "upload",
         "method": "POST",
@@ -60,7 +46,8 @@
         "timeout_s": 8.0,
         "share": UPLOADS * SERVICE_S / UPLOAD_S,
     }
-    return [{**read, "share": 1 - BOOKINGS - UPLOADS}, book, upload]
+    read = {**READ, "share": 1 - BOOKINGS - UPLOADS}
+    return [read, {**BOOK, "share": BOOKINGS}, upload]
 
 
 def make_phase(duration_s, load, bookings=BOOKINGS):
