--- a/egretlift/admission/limit.py
+++ b/egretlift/admission/limit.py
@@ -16,11 +16,29 @@
 
 import math
 
+from egretlift.admission.latency import (
+    LEARNING,
+    STALE_S,
+    find_kind,
+    learn_baseline,
+    learn_typical,
+    move_baselines,
+    usual_outgoing,
+)
+from egretlift.admission.rounds import (
+    SLOWDOWN_LIMIT,
+    Round,
+    add_sample,
+    count_round,
+    finish_call,
+    forget_call,
+    is_complete,
+    is_outdated,
+    measure_round,
+    note_later,
+)
 from egretlift.outcome import Outcome
 
-# Slowdown above which the limit falls. The upstream holds this many calls per
-# slot at most, which keeps every slot busy despite noise.
-SLOWDOWN_LIMIT = 1.4
 # Slowdown aimed at by a decrease, and slowdown up to which growth accelerates.
 SLOWDOWN_TARGET = 1.3
 SLOWDOWN_FREE = 1.15
@@ -41,140 +59,18 @@
 FAILURE_MARGIN = 0.1
 # Part of the concurrency at which failures began down to which it is reduced.
 FAILURE_RANGE = 0.25
-ROUND_MINIMUM = 16
-ROUND_MAXIMUM = 128
 DIP_MINIMUM = 10
 DIP_MAXIMUM = 25
-# Part of a round's weight that must be finished. Waiting for the slowest calls
-# would delay every reaction; ignoring more of them would bias the mean.
-ROUND_FINISHED = 0.95
-# A round is also closed when half of its calls are finished and this many times
-# their mean duration has passed; a call that hangs would freeze the limit.
-ROUND_STRAGGLERS = 4
-# A round with at least this slowdown is outdated if this many calls that started
-# after its own have already ended without slowdown: the upstream has recovered.
-OUTDATED_SLOWDOWN = 3.0
-OUTDATED_CALLS = 8
 # A dip costs at most 40% of capacity, hence 2% when it takes 1/20 of the time.
 DIP_SPACING = 20
 # The same while the limit is at its minimum, where only a dip can show that the
 # baseline is too low. An upstream that needs so low a limit stays busy in a dip.
 DIP_SPACING_MINIMUM = 1
 DIP_PERIOD_S = 1.0
-# Calls averaged into the first baseline. The first calls to *start* are taken,
-# since the first to finish are the shortest.
-LEARNING = 16
-LEARNING_FINISHED = 14
 # A round older than this number of rounds is not compared to any more.
 REFERENCE_ROUNDS = 8
 LATE_SMOOTHING = 8
-# Standard errors beyond which a change of the baseline is certain, and the
-# relative error attributed to the baseline itself.
-DOUBT = 4
-BASELINE_ERROR = 0.15
-STARTS_DECAY = 0.8
-KINDS_MAXIMUM = 64
-OTHER_KIND = "other"
-# Steps whose balance makes the typical duration the lower quartile: a call with
-# less time left would not finish in three cases of four.
-TYPICAL_RISE = 1.04
-TYPICAL_FALL = 1.12
-SERVICE_SMOOTHING = 0.05
 DURATION_MINIMUM_S = 1e-6
-# The usual time of outgoing calls follows slowly: some seconds of a service 10
-# times slower must not look like a slower upstream here.
-OUTGOING_SMOOTHING = 0.01
-OUTGOING_RISE = 1.2
-# Time after which one call may test a typical duration that refuses all calls.
-STALE_S = 0.1
-
-
-class KindLatency:
-    """Durations of one kind of call.
-
-    ``baseline`` is the mean service time without queueing and None until it is
-    learned, ``typical`` the lower quartile of recent durations, both in seconds.
-    ``outgoing`` is the usual part of it that outgoing calls take, learned from
-    ``outgoing_count`` calls. ``sampled_at`` is the time of the last sample,
-    ``checked_at`` of the last sample or test, ``starts`` the decaying number of
-    calls started.
-    """
-
-    __slots__ = (
-        "baseline",
-        "checked_at",
-        "learned",
-        "learning",
-        "outgoing",
-        "outgoing_count",
-        "sampled_at",
-        "starts",
-        "total",
-        "typical",
-    )
-
-    def __init__(self):
-        self.baseline = None
-        self.typical = 0.0
-        self.outgoing = 0.0
-        self.outgoing_count = 0
-        self.learning = 0
-        self.learned = 0
-        self.total = 0.0
-        self.starts = 0.0
-        self.sampled_at = -math.inf
-        self.checked_at = -math.inf
-
-
-class Round:
-    """Calls started during one observation, and what is known of them.
-
-    Each call weighs the inverse of its kind's baseline, so that the delay is
-    estimated mostly from short calls, whose durations vary least.
-    """
-
-    __slots__ = (
-        "concurrency",
-        "dip",
-        "excess",
-        "excess_squares",
-        "failures",
-        "filled_at",
-        "finished",
-        "finished_weight",
-        "held",
-        "late_kinds",
-        "later",
-        "later_slowdown",
-        "opened_at",
-        "pending",
-        "quota",
-        "samples",
-        "tagged",
-        "total_s",
-        "weight",
-    )
-
-    def __init__(self, now, quota, dip):
-        self.opened_at = now
-        self.filled_at = now
-        self.quota = quota
-        self.dip = dip
-        self.late_kinds = ()
-        self.later = 0
-        self.later_slowdown = 0.0
-        self.held = False
-        self.tagged = 0
-        self.concurrency = 0
-        self.weight = 0.0
-        self.finished = 0
-        self.total_s = 0.0
-        self.finished_weight = 0.0
-        self.excess = 0.0
-        self.excess_squares = 0.0
-        self.failures = 0
-        self.pending = set()
-        self.samples = {}
 
 
 class LimitState:
@@ -216,21 +112,6 @@
         self.service_s = 0.0
 
 
-def count_round(limit):
-    """Return the number of calls that a round observes."""
-    return int(min(max(limit, ROUND_MINIMUM), ROUND_MAXIMUM))
-
-
-def find_kind(state, kind):
-    """Return the durations of a kind; kinds beyond the maximum share one."""
-    found = state.kinds.get(kind)
-    if found is None:
-        if len(state.kinds) >= KINDS_MAXIMUM:
-            kind = OTHER_KIND
-        found = state.kinds.setdefault(kind, KindLatency())
-    return found
-
-
 def is_hopeless(state, now, waiting):
     """Return whether the remaining time cannot cover the typical duration.
 
@@ -324,146 +205,6 @@
         close_round(state, settings, now)
 
 
-def usual_outgoing(kind, outgoing_s):
-    """Update and return the usual time of a kind's own outgoing calls."""
-    if kind.baseline is None:
-        kind.outgoing_count += 1
-        kind.outgoing += (outgoing_s - kind.outgoing) / kind.outgoing_count
-        return outgoing_s
-    sample = min(outgoing_s, OUTGOING_RISE * kind.outgoing)
-    kind.outgoing += OUTGOING_SMOOTHING * (sample - kind.outgoing)
-    return kind.outgoing
-
-
-def note_later(current, kind, waiting, duration_s, whole):
-    """Count a call that started after all calls of a round did."""
-    full = current.tagged >= current.quota
-    if whole and full and kind.baseline and waiting.started_at >= current.filled_at:
-        current.later += 1
-        current.later_slowdown += duration_s / kind.baseline
-
-
-def is_outdated(current, slowdown):
-    """Return whether a slow round was followed by calls that are not slow.
-
-    Those that ended first are the shortest, so only a large difference counts.
-    """
-    if slowdown < OUTDATED_SLOWDOWN or current.later < OUTDATED_CALLS:
-        return False
-    return current.later_slowdown < SLOWDOWN_LIMIT * current.later
-
-
-def is_complete(current, now):
-    """Return whether enough of a round's calls are finished to judge it."""
-    if current.tagged < current.quota:
-        return False
-    if current.finished_weight >= ROUND_FINISHED * current.weight:
-        return True
-    limit_s = ROUND_STRAGGLERS * current.total_s / max(1, current.finished)
-    late = now - current.filled_at > limit_s
-    return late and 2 * current.finished >= current.tagged
-
-
-def learn_typical(state, kind, now, duration_s):
-    """Update the typical durations."""
-    if now - kind.sampled_at > STALE_S:
-        kind.typical = duration_s
-    elif duration_s > kind.typical:
-        kind.typical *= TYPICAL_RISE
-    else:
-        kind.typical /= TYPICAL_FALL
-    kind.sampled_at = kind.checked_at = now
-    state.service_s += (duration_s - state.service_s) * SERVICE_SMOOTHING
-
-
-def learn_baseline(kind, duration_s, whole):
-    """Add one of the first calls to the first baseline."""
-    if not whole:
-        kind.learning -= 1
-        return
-    kind.total += duration_s
-    kind.learned += 1
-    if kind.learned >= LEARNING_FINISHED:
-        kind.baseline = kind.total / kind.learned
-
-
-def forget_call(current, waiting):
-    """Remove a call from an open round."""
-    current.pending.discard(waiting)
-    current.tagged -= 1
-    current.concurrency *= current.tagged / (current.tagged + 1)
-    current.weight -= 1 / waiting.baseline
-
-
-def finish_call(current, waiting, duration_s, whole):
-    """Add a finished call to its open round."""
-    current.pending.discard(waiting)
-    weight = 1 / waiting.baseline
-    current.finished += 1
-    current.finished_weight += weight
-    current.total_s += duration_s
-    if not whole:
-        current.failures += 1
-    if whole or duration_s > waiting.baseline:
-        add_sample(current, waiting, duration_s)
-
-
-def add_sample(current, waiting, duration_s):
-    """Add a duration to a round."""
-    excess = duration_s / waiting.baseline - 1
-    current.excess += excess
-    current.excess_squares += excess * excess
-    sample = current.samples.setdefault(waiting.kind, [0, 0.0])
-    sample[0] += 1
-    sample[1] += duration_s
-
-
-def mean_baseline(state):
-    """Return the mean baseline over recent starts, and let their counts decay.
-
-    It is smoothed over several rounds, since few calls of a long kind in a round
-    would make it jump.
-    """
-    starts = total = 0.0
-    for kind in state.kinds.values():
-        if kind.baseline is not None:
-            starts += kind.starts
-            total += kind.starts * kind.baseline
-            kind.starts *= STARTS_DECAY
-    return total / starts
-
-
-def measure_round(state, current):
-    """Return (slowdown, its standard error) of a round.
-
-    The delay is the weighted mean excess over the baselines. A slowdown is the
-    delay relative to the mean baseline of the calls started, which by Little's
-    law is the number of calls in flight per busy slot, whatever the mix.
-    """
-    scale = 1 / mean_baseline(state) / current.weight
-    spread = current.excess_squares - current.excess**2 / current.tagged
-    spread = max(0.0, spread)
-    return max(1 + current.excess * scale, 0.0), math.sqrt(spread) * scale
-
-
-def move_baselines(state, current, slowdown, error):
-    """Move the baselines of a round's kinds towards what the round observed.
-
-    A rise and a fall beyond doubt are taken over at once, a smaller fall in
-    proportion to the precision of the round: a baseline too low closes the limit,
-    one too high costs some latency until the next dip.
-    """
-    slowdown = max(slowdown, 1e-3)
-    error = max(error, 1e-3) / slowdown
-    share = 1.0
-    if -DOUBT * error < math.log(slowdown) < 0:
-        share = BASELINE_ERROR**2 / (BASELINE_ERROR**2 + error**2)
-    for name, (count, total) in current.samples.items():
-        kind = find_kind(state, name)
-        mean_s = total / count
-        kind.baseline += (mean_s - kind.baseline) * share * count / (count + 2)
-
-
 def falls_less(value, previous, concurrency, previous_concurrency):
     """Return whether a value fell clearly less than the concurrency.
 
