--- a/egretlift/daemon/allocation.py
+++ b/egretlift/daemon/allocation.py
@@ -7,7 +7,8 @@
 from egretlift.blackboard import count
 from egretlift.daemon.messages import send_control
 from egretlift.daemon.tasks import start_task
-from egretlift.daemon.zone import find_allocator, my_lease
+from egretlift.daemon.zone import my_lease
+from egretlift.daemon.zone_shares import find_allocator
 from egretlift.quotas import (
     Allocation,
     allocate,
--- a/egretlift/daemon/claims.py
+++ b/egretlift/daemon/claims.py
@@ -10,7 +10,8 @@
 import anyio
 
 from egretlift.blackboard import count
-from egretlift.daemon.zone import list_other_zones, my_lease
+from egretlift.daemon.zone import my_lease
+from egretlift.daemon.zone_shares import list_other_zones
 from egretlift.errors import ConflictError, EgretliftError, NotFound
 from egretlift.events import record_event
 from egretlift.idempotency import (
--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -30,10 +30,10 @@
     answer_question,
     confirm_zone_lease,
     keep_zone_lease,
-    keep_zone_shares,
     publish_seeds,
     release_zone_lease,
 )
+from egretlift.daemon.zone_shares import keep_zone_shares
 from egretlift.errors import EgretliftError
 from egretlift.events import record_event, start_logging
 from egretlift.idempotency import drop_record, expire_records
--- a/egretlift/daemon/watch.py
+++ b/egretlift/daemon/watch.py
@@ -15,13 +15,8 @@
     decode_object,
     merge_objects,
 )
-from egretlift.daemon.zone import (
-    adopt_lease,
-    adopt_seeds,
-    adopt_zone_share,
-    is_watcher,
-    my_lease,
-)
+from egretlift.daemon.zone import adopt_lease, adopt_seeds, is_watcher, my_lease
+from egretlift.daemon.zone_shares import adopt_zone_share
 from egretlift.errors import EgretliftError
 from egretlift.events import record_event
 from egretlift.quotas.zone_lease import record_platform
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -1,4 +1,4 @@
-"""The zone lease and the zone's part of each organisation's rate."""
+"""The zone lease: who holds it, confirms it and releases it."""
 
 import json
 import math
@@ -7,23 +7,15 @@
 import anyio
 
 from egretlift.blackboard import count
-from egretlift.configuration import find_quota
 from egretlift.daemon.messages import send_control
 from egretlift.daemon.tasks import start_task
 from egretlift.errors import ConflictError, EgretliftError, NotFound
 from egretlift.events import record_event
 from egretlift.quotas import (
     LeaseState,
-    ZoneShares,
-    expire_grants,
-    is_within,
     may_hold,
     record_confirmation,
-    resize_allocator,
-    start_allocator,
-    zone_demand,
     zone_lease,
-    zone_shares,
 )
 from egretlift.transport.control import ControlFailed
 from egretlift.transport.generated import control_pb2 as pb
@@ -288,136 +280,6 @@
     board.seeds_written = endpoints
 
 
-def find_allocator(board, organisation, now):
-    """Return the allocator of an organisation, opened empty if needed.
-
-    Returns
-    -------
-    Allocator or None
-        None for an organisation that is not configured.
-    """
-    allocator = board.allocators.get(organisation)
-    if allocator is None and find_quota(board.catalog, organisation) is not None:
-        wait_s = max(0.0, board.quarantine_until - now)
-        allocator = start_allocator(
-            organisation, board.allocator_epoch, now, 0.0, 0.0, wait_s
-        )
-        board.allocators[organisation] = allocator
-        shares = ZoneShares(organisation, board.settings.zone, board.allocator_epoch)
-        board.zone_shares[organisation] = shares
-        known = board.share_objects.get(organisation)
-        if known is not None:
-            zone_shares.observe_shares(shares, *known)
-        fit_allocator(board, allocator, now)
-    return allocator
-
-
-def adopt_zone_share(board, item, now):
-    """Take over a zone share object read from the platform."""
-    version, name = item["revision"], item["name"]
-    known = board.share_objects.get(name)
-    if known is None or version > known[0]:
-        board.share_objects[name] = (version, item["spec"])
-    state = board.zone_shares.get(name)
-    if state is not None:
-        zone_shares.observe_shares(state, version, item["spec"])
-        fit_allocator(board, board.allocators[name], now)
-
-
-def fit_allocator(board, allocator, now):
-    """Give an allocator the zone's part of the organisation's current quota."""
-    quota = find_quota(board.catalog, allocator.organisation)
-    state = board.zone_shares[allocator.organisation]
-    usable = zone_shares.usable_share(state) if quota else 0
-    rate, burst = (quota.rate, quota.burst) if quota else (0.0, 0.0)
-    part = zone_shares.zone_part(usable, rate, burst)
-    if part != (allocator.rate, allocator.burst):
-        resize_allocator(allocator, now, *part)
-    return rate, burst, part
-
-
-def list_other_zones(board):
-    """Return the other zones whose holder is known and alive."""
-    found = []
-    for zone, (_, holder) in board.holders.items():
-        member = board.members.members.get(holder)
-        alive = member is not None and member.status == "alive"
-        if alive and zone != board.settings.zone:
-            found.append(zone)
-    return sorted(found)
-
-
-def draws_elsewhere(board, state, burst):
-    """Return whether this zone's hosts can draw on the zone that holds the rate.
-
-    While they can, the zone asks for no part of a small burst.
-    """
-    holding = [zone for zone in state.zones if zone_shares.seen_share(state, zone)]
-    if not zone_shares.is_small(burst, len(board.holders)):
-        return False
-    others = list_other_zones(board)
-    return any(zone in others for zone in holding if zone != board.settings.zone)
-
-
-def plan_share_write(board, allocator, now):
-    """Return the next write of an organisation's zone shares, or None."""
-    settings = board.settings
-    state = board.zone_shares[allocator.organisation]
-    expire_grants(allocator, settings, now)
-    rate, burst, _ = fit_allocator(board, allocator, now)
-    if rate <= 0:
-        return None
-    demand = zone_demand(allocator, settings, now)
-    if demand is not None and draws_elsewhere(board, state, burst):
-        demand = 0.0
-    zone_shares.record_demand(state, now, demand)
-    zone_shares.plan_transfer(state, now, rate, burst)
-    _, _, part = fit_allocator(board, allocator, now)
-    within = is_within(allocator, settings, now, *part)
-    lost = [
-        zone
-        for zone, lease in board.leases.items()
-        if zone != settings.zone and zone_lease.is_lost(lease, settings)
-    ]
-    return zone_shares.plan_reclaim(state, now, lost) or zone_shares.plan_write(
-        state, settings, now, rate, burst, within, list_other_zones(board)
-    )
-
-
-async def write_share(board, organisation, spec, version):
-    """Carry out a planned write of zone shares."""
-    count(board, "platform_calls", "zone-share")
-    try:
-        item = await board.platform.put_object(
-            "zone-share", organisation, spec, version
-        )
-    except ConflictError as error:
-        item = error.current
-    except EgretliftError:
-        return
-    finally:
-        board.share_writes.discard(organisation)
-    if item is not None:
-        adopt_zone_share(board, item, time.monotonic())
-
-
-async def keep_zone_shares(board):
-    """Adjust the zone's part of each rate while this host holds the lease."""
-    settings = board.settings
-    while True:
-        await anyio.sleep(TICK_S)
-        now = time.monotonic()
-        if not may_hold(my_lease(board), settings, now):
-            continue
-        for organisation, allocator in list(board.allocators.items()):
-            if organisation in board.share_writes:
-                continue
-            write = plan_share_write(board, allocator, now)
-            if write is not None:
-                board.share_writes.add(organisation)
-                start_task(board, write_share, organisation, *write)
-
-
 def describe_zone_lease(board):
     """Return the zone lease for the state page."""
     state, settings = my_lease(board), board.settings
