Run calls of other daemons for a while after the signal to stop

Ruled out: the store (reached throughout), entries (stored within 0.02 s), rates. Now other daemons hear of the stop 1.6 s after the signal, which leaves 1.1 s for a lost report before the daemon refuses. The integration test was refused before.

--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -59,8 +59,9 @@
         Pace of the routes whose requests the upstream runs.
     open_requests : int
         Requests that were read and not answered yet.
-    stopping, refusing : bool
-        Whether the daemon was asked to stop, and whether it takes no more requests.
+    stopping, leaving, refusing : bool
+        Whether the daemon was asked to stop, whether other daemons are to send it no
+        further calls, and whether it takes no more requests.
     """
 
     __slots__ = (
@@ -83,6 +84,7 @@
         "fetch_from",
         "histograms",
         "hosts_listed",
+        "leaving",
         "lines",
         "open_requests",
         "others",
@@ -137,6 +139,7 @@
         self.own_revision = None
         self.open_requests = 0
         self.stopping = False
+        self.leaving = False
         self.refusing = False
         self.counters = {}
         self.histograms = {}
@@ -212,7 +215,7 @@
             slots=current.slots if current else 0,
             boot=self.boot,
             counter=self.counter,
-            stopping=self.stopping,
+            stopping=self.leaving,
         )
 
     def find_pace(self, route):
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -35,6 +35,9 @@
 STDOUT = 1
 # The platform notices within this time that the daemon takes no callers.
 LINGER_S = 2.7
+# Other daemons send calls for this long: daemons that restart in turn would otherwise
+# take most upstreams of a service away. The rest is for reports that are lost.
+LEAVE_S = 1.6
 # Left of the grace time for closing connections.
 CLOSE_S = 0.6
 TIDY_INTERVAL_S = 1.0
@@ -120,15 +123,18 @@
     """Stop gracefully: take what still comes, finish it, and close.
 
     The daemon is not ready from the first moment. It goes on serving until the
-    platform has noticed that. What comes later could not end before the kill and is
-    refused, as callers may still be sent here when a zone has few daemons left.
+    platform has noticed that, and other daemons' calls for a shorter time. What comes
+    later could not end before the kill and is refused, as callers may still be sent
+    here when a zone has few daemons left.
     """
     settings = board.settings
     started = time.monotonic()
     board.stopping = True
-    board.change_entry()
     record_event("stopping", open_requests=board.open_requests)
-    await anyio.sleep(LINGER_S)
+    await anyio.sleep(LEAVE_S)
+    board.leaving = True
+    board.change_entry()
+    await anyio.sleep(LINGER_S - LEAVE_S)
     board.refusing = True
     with anyio.move_on_after(settings.bounds.grace_s - CLOSE_S - LINGER_S):
         while board.open_requests:
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -210,6 +210,31 @@
 
         run_mesh(play)
 
+    def test_stop_while_no_other_host_serves(self):
+        """Guards against refusals while a host that stops could still run calls.
+
+        Daemons are restarted in turn; meanwhile other hosts of the service are down.
+        """
+
+        async def play(mesh):
+            first, second = mesh.sidecars
+            first.upstream.state = "draining"
+            await mesh.beat(first)
+            second.signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            self.assertFalse(await mesh.is_ready(second))
+            for number in range(10):
+                status, _, _ = await mesh.ask(first, request_id=f"t{number}")
+                self.assertEqual(status, 200)
+            # Before it ends the others must have stopped sending calls there.
+            await asyncio.sleep(1.8)
+            before = len(second.upstream.requests)
+            status, _, _ = await mesh.ask(first, request_id="last")
+            self.assertEqual(status, 503)
+            self.assertEqual(len(second.upstream.requests), before)
+
+        run_mesh(play)
+
     def test_kill_of_a_daemon(self):
         """Guards against calls that keep going to a dead host."""
 
