Serve the calls of an upstream until the daemon ends

Cause: 2.7 s after the signal to stop a daemon refused everything on its callers' port, also the calls that its own upstream makes for requests that still run; those requests failed with 500, and a booking could not be repeated. Calls of running requests are now served to the end of the stop. The new integration test failed with 500 before.

--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -65,8 +65,6 @@
     """Return the call in a request of a caller, and the run that it is made for."""
     dialect, configuration = board.dialect, board.configuration
     headers = request.headers
-    if board.refusing:
-        checks.fail("stopping", 503, "retry on a new connection")
     target = request.message.path
     route = checks.resolve(
         configuration, headers.get("Host", ""), target.partition("?")[0]
@@ -80,6 +78,9 @@
     if route.is_open and waits_s is not None:
         parent = find_parent(board.runs, started + waits_s)
         board.count("parents", "found" if parent else "unknown")
+    # A request that runs until the end of the stop needs its calls until then.
+    if board.refusing and parent is None:
+        checks.fail("stopping", 503, "retry on a new connection")
     body = await read_body(request, configuration.body_bytes)
     if waits_s is not None:
         waits_s = max(0.0, waits_s - CALLER_MARGIN_S)
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -210,6 +210,23 @@
 
         run_mesh(play)
 
+    def test_calls_of_an_upstream_during_a_stop(self):
+        """Guards against requests that fail as their calls come late in a stop."""
+
+        async def play(mesh):
+            first = mesh.sidecars[0]
+            for sidecar in mesh.sidecars:
+                sidecar.upstream.behaviour = "call"
+            first.signal(signal.SIGTERM)
+            await asyncio.sleep(2.3)
+            status, _, _ = await mesh.ask(first, "/book/1", "late")
+            self.assertEqual(status, 200)
+            (ran,) = mesh.ran("late.1")
+            self.assertEqual(ran["X-Caller-Service"], "checkout")
+            await asyncio.wait_for(first.process.wait(), 4)
+
+        run_mesh(play)
+
     def test_stop_while_no_other_host_serves(self):
         """Guards against refusals while a host that stops could still run calls.
 
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -37,6 +37,7 @@
 ROUTES = [
     ["views", "m.example", "/view/", "idempotent", 2, 1, 2, 2, False, "checkout"],
     ["books", "m.example", "/book/", "non_idempotent", 2, 1, 0, 2, False, "checkout"],
+    ["inner", "m.example", "/inner/", "idempotent", 2, 1, 2, 2, True, "checkout"],
 ]
 
 
@@ -61,10 +62,12 @@
         Time and headers of each request that ran.
     behaviour : str
         ``serve``, ``slow`` (half a second), ``reset`` (runs, then no answer), ``full``
-        (does not run), ``fail`` (status 500).
+        (does not run), ``fail`` (status 500), ``call`` (after 0.9 s one call through
+        its daemon, whose failure fails the request).
     """
 
-    def __init__(self, number, service):
+    def __init__(self, number, service, caller_port):
+        self.caller_port = caller_port
         self.upstream_id = f"i-{number}"
         self.service = service
         self.requests = []
@@ -88,10 +91,30 @@
         if self.behaviour == "reset":
             request.transport.abort()
             raise ConnectionResetError
+        failed = self.behaviour == "fail"
+        if self.behaviour == "call" and not request.path.startswith("/inner/"):
+            failed = await self.make_call(request) != 200
         headers["X-Server-Seal"] = self.upstream_id
-        status = 500 if self.behaviour == "fail" else 200
+        status = 500 if failed else 200
         return web.Response(status=status, text=request.path, headers=headers)
 
+    async def make_call(self, request):
+        """Make a call for a request and return its status."""
+        began = time.monotonic()
+        await asyncio.sleep(0.9)
+        spent_ms = round(1000 * (time.monotonic() - began))
+        headers = {
+            "Host": "m.example",
+            "X-Request-Id": f"{request.headers['X-Request-Id']}.1",
+            "X-Deadline-Ms": str(int(request.headers["X-Deadline-Ms"]) - spent_ms),
+        }
+        url = f"http://127.0.0.1:{self.caller_port}/inner/1"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url, headers=headers) as response,
+        ):
+            return response.status
+
 
 class Sidecar:
     """A daemon's process, its endpoints and its upstream."""
@@ -99,7 +122,7 @@
     def __init__(self, number, zone, ports, store_port):
         self.name = f"host-{number}"
         self.ports = ports
-        self.upstream = Upstream(number, "checkout")
+        self.upstream = Upstream(number, "checkout", ports[1])
         self.process = None
         self.runner = None
         here = "127.0.0.1"
