Forget hosts that have left, with their parts of the rates

Cause: a host removes its entry as its last act, while its last report is half a second old. The others kept a host whose reports arrive, and nothing looked again, so every host that left kept its part of each rate for as long as the others ran: some 3.5% for an idle one of 12, more for a busy one. Found by reading; the test of find_departed has no counterpart before, as nothing forgot such hosts.

--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -196,6 +196,8 @@
         Part of each organisation's rate that the host had when it was last heard.
     revision : int
         Store revision of the entry, 0 if it is not from the store.
+    removed : bool
+        Whether the entry was in the store and is there no more.
     """
 
     __slots__ = (
@@ -210,6 +212,7 @@
         "number",
         "outstanding",
         "parts",
+        "removed",
         "report",
         "revision",
         "sent",
@@ -227,6 +230,7 @@
         self.parts = {}
         self.report = None
         self.revision = 0
+        self.removed = False
         self.sent = 0
         self.failed = 0.0
         self.failed_at = now
@@ -245,6 +249,7 @@
         return True
     if revision > peer.revision:
         peer.revision = revision
+        peer.removed = False
         if not is_heard(peer, now, interval_s):
             peer.entry = entry
             peer.learned_at = now
@@ -304,6 +309,20 @@
     ]
 
 
+def find_departed(peers, now, interval_s):
+    """Return the peers that ended for good: without an entry, and silent.
+
+    A host takes its entry out of the store as its last act, and its last reports may
+    arrive later.
+    """
+    return [
+        peer
+        for peer in peers.values()
+        if (peer.removed or (peer.entry.stopping and not peer.revision))
+        and not is_heard(peer, now, interval_s)
+    ]
+
+
 def eject(peer, now):
     """Leave a host out until its next report, or for a while."""
     peer.ejected_until = now + EJECTION_S
--- a/egretlift/membership/tests/test_peers.py
+++ b/egretlift/membership/tests/test_peers.py
@@ -15,6 +15,7 @@
     encode_entry,
     encode_report,
     find_abandoned,
+    find_departed,
     learn_report,
     learn_stored,
     may_call,
@@ -69,6 +70,35 @@
                 self.assertEqual(bool(found), expected)
 
 
+class TestDeparted(unittest.TestCase):
+    """Which hosts are forgotten."""
+
+    def test_find_departed(self):
+        """Guards against parts of rates that stay with hosts that have left."""
+        for name, revision, removed, stopping, now, expected in (
+            ("entry removed, silent", 0, True, True, 3.0, True),
+            ("entry removed, still heard", 0, True, True, 0.5, False),
+            ("late report after the removal", 0, False, True, 3.0, True),
+            ("restarting", 5, False, True, 3.0, False),
+            ("cut off", 5, False, False, 3.0, False),
+            ("cut off, learned from another daemon", 0, False, False, 3.0, False),
+        ):
+            with self.subTest(name=name):
+                peers = {}
+                learn_report(peers, make_report(stopping=stopping), 0.0)
+                peers["b"].revision, peers["b"].removed = revision, removed
+                found = find_departed(peers, now, INTERVAL_S)
+                self.assertEqual(bool(found), expected)
+
+    def test_entry_that_is_written_again(self):
+        """Guards against a living host that is forgotten in its next silence."""
+        peers = {}
+        learn_report(peers, make_report(), 0.0)
+        peers["b"].removed = True
+        learn_stored(peers, make_entry(), 7, 0.5, INTERVAL_S)
+        self.assertFalse(find_departed(peers, 5.0, INTERVAL_S))
+
+
 class TestPeers(unittest.TestCase):
     """Which hosts may be called."""
 
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -17,7 +17,7 @@
 from egretlift.membership.upstream import restore
 from egretlift.quotas.demand import report_bucket
 from egretlift.sidecar.peers import STATE_PATH
-from egretlift.sidecar.watching import adopt_configuration
+from egretlift.sidecar.watching import adopt_configuration, forget_departed
 from egretlift.transport.exchange import (
     ExchangeBroken,
     NotSent,
@@ -101,6 +101,7 @@
     try:
         while True:
             number += 1
+            forget_departed(board)
             data = encode_report(make_report(board, number))
             for peer in list(board.peers.values()):
                 transport.sendto(data, (peer.entry.address, peer.entry.report_port))
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -9,6 +9,7 @@
     decode_entry,
     encode_entry,
     find_abandoned,
+    find_departed,
     learn_stored,
 )
 from egretlift.membership.upstream import restore
@@ -88,11 +89,18 @@
     peer = board.peers.get(name)
     if peer is None:
         return
-    # A host that is heard stays known, and writes its entry again.
+    # A host that is heard stays known for now; if it lives it writes its entry again.
     peer.revision = 0
-    if not board.is_heard(peer):
-        del board.peers[name]
-        board.log_change("host-removed", peer=name)
+    peer.removed = True
+    forget_departed(board)
+
+
+def forget_departed(board):
+    """Forget the hosts that ended for good, so that others get their parts of rates."""
+    now = time.monotonic()
+    for peer in find_departed(board.peers, now, board.report_interval_s()):
+        del board.peers[peer.entry.host]
+        board.log_change("host-removed", peer=peer.entry.host)
 
 
 def note_absent(board, objects):
