Remove a method and a field that nothing reads, and learn hosts in one place

Board.is_heard lost its last caller when departed hosts got their own check, and the time at which a configuration came into force was never read. Entries of the store and of other daemons now go through Board.learn_host. No change of behaviour.

--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -9,7 +9,7 @@
 from egretlift.admission.pace import Pace, Waits
 from egretlift.admission.slots import Slots
 from egretlift.events import record_event
-from egretlift.membership.peers import HostEntry, Load, is_heard, learn_stored
+from egretlift.membership.peers import HostEntry, Load, learn_stored
 from egretlift.membership.upstream import UpstreamState, may_serve
 from egretlift.quotas.demand import Others, RateBucket, divide, fill
 from egretlift.retries.arrivals import Arrivals
@@ -39,8 +39,6 @@
     ----------
     configuration : Configuration or None
         The version in force.
-    configuration_seen_at : float
-        Monotonic time at which the version came into force.
     peers : dict of str to Peer
         Other hosts by name.
     buckets : dict of str to RateBucket
@@ -70,7 +68,6 @@
         "borrowing",
         "buckets",
         "configuration",
-        "configuration_seen_at",
         "counter",
         "counter_stored",
         "counters",
@@ -121,7 +118,6 @@
         self.boot = secrets.token_hex(4)
         self.counter = 0
         self.configuration = None
-        self.configuration_seen_at = 0.0
         self.upstream = UpstreamState()
         self.slots = Slots()
         self.runs = set()
@@ -239,13 +235,13 @@
         service = self.settings.service
         return 1 + sum(peer.entry.service == service for peer in self.peers.values())
 
-    def is_heard(self, peer):
-        """Return whether reports of a host arrive."""
-        return is_heard(peer, time.monotonic(), self.report_interval_s())
+    def learn_host(self, entry, revision):
+        """Take in a host's entry; return whether the host was unknown.
 
-    def learn_host(self, entry):
-        """Take in a host that another daemon knows."""
-        learn_stored(self.peers, entry, 0, time.monotonic(), self.report_interval_s())
+        ``revision`` is that of the store, or 0 if another daemon knows the host.
+        """
+        now, interval_s = time.monotonic(), self.report_interval_s()
+        return learn_stored(self.peers, entry, revision, now, interval_s)
 
     def find_bucket(self, organisation):
         """Return the filled bucket of an organisation that has a rate."""
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -154,7 +154,7 @@
             board.log_change("entry-invalid", name=entry.host, cause=str(error))
             continue
         if found.host != board.settings.host:
-            board.learn_host(found)
+            board.learn_host(found, 0)
         elif found.boot != board.boot:
             restore(board.upstream, found)
     # The other daemon's hosts do for the store's list while the store is away.
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -10,7 +10,6 @@
     encode_entry,
     find_abandoned,
     find_departed,
-    learn_stored,
 )
 from egretlift.membership.upstream import restore
 from egretlift.platform.configuration import decode_configuration
@@ -39,7 +38,6 @@
     if current is not None and configuration.version <= current.version:
         return False
     board.configuration = configuration
-    board.configuration_seen_at = time.monotonic()
     board.log_change(
         "configuration-in-force",
         version=configuration.version,
@@ -58,8 +56,6 @@
 
 def take_host(board, found):
     """Take in the entry of a host."""
-    now = time.monotonic()
-    interval_s = board.report_interval_s()
     if found.spec is None:
         note_removed(board, found.name)
         return
@@ -73,7 +69,7 @@
         if entry.boot != board.boot:
             restore(board.upstream, entry)
         return
-    if learn_stored(board.peers, entry, found.revision, now, interval_s):
+    if board.learn_host(entry, found.revision):
         board.log_change("host-learned", peer=entry.host, source="store")
 
 
