--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -63,11 +63,17 @@
     ----------
     requests : list of (float, Mapping)
         Monotonic time and headers of each executed request.
+    slots : int
+        Number of requests that it states to run at once.
+    slow_s : float
+        Seconds after which it answers if it is slow.
+    call_after_s : float
+        Seconds after which it makes its call if it makes calls.
     behaviour : str
-        ``serve``: answers at once. ``slow``: answers after 0.5 s. ``reset``: executes,
+        ``serve``: answers at once. ``slow``: answers late. ``reset``: executes,
         then resets the connection. ``full``: refuses without execution. ``fail``:
-        answers with status 500. ``call``: after 0.9 s makes one call through its
-        daemon, except on paths under ``/inner/``, and fails if that call fails.
+        answers with status 500. ``call``: makes one call through its daemon, except on
+        paths under ``/inner/``, and fails if that call fails.
     beats : int
         Sequence number of the last heartbeat.
     born : int
@@ -79,6 +85,9 @@
         self.upstream_id = f"i-{number}"
         self.service = service
         self.requests = []
+        self.slots = 8
+        self.slow_s = 0.5
+        self.call_after_s = 0.9
         self.behaviour = "serve"
         self.beats = 0
         self.state = "ready"
@@ -98,7 +107,7 @@
         self.requests.append((time.monotonic(), request.headers.copy()))
         await request.read()
         if self.behaviour == "slow":
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(self.slow_s)
         if self.behaviour == "reset":
             request.transport.abort()
             raise ConnectionResetError
@@ -112,7 +121,7 @@
     async def make_call(self, request):
         """Make one call on behalf of a request and return its status."""
         started = time.monotonic()
-        await asyncio.sleep(0.9)
+        await asyncio.sleep(self.call_after_s)
         spent_ms = round(1000 * (time.monotonic() - started))
         headers = {
             "Host": "m.example",
@@ -134,10 +143,10 @@
     the upstream, and the two internal ports.
     """
 
-    def __init__(self, number, zone, ports, store_port):
+    def __init__(self, number, zone, service, ports, store_port):
         self.name = f"host-{number}"
         self.ports = ports
-        self.upstream = Upstream(number, "checkout", ports[1])
+        self.upstream = Upstream(number, service, ports[1])
         self.process = None
         self.runner = None
         loopback = "127.0.0.1"
@@ -145,7 +154,7 @@
             "node_name": self.name,
             "ip": loopback,
             "zone": zone,
-            "service": "checkout",
+            "service": service,
             "listen": {
                 "inbound": f"{loopback}:{ports[0]}",
                 "outbound": f"{loopback}:{ports[1]}",
@@ -159,10 +168,11 @@
             "platform": {"address": f"{loopback}:{store_port}"},
         }
 
-    def start(self, folder):
+    def start(self, folder, root=ROOT):
         """Return the coroutine that starts the daemon's process.
 
-        The settings file and the log are written to ``folder``.
+        The settings file and the log are written to ``folder``. The daemon's program
+        is that of the source tree ``root``.
         """
         path = Path(folder) / f"{self.name}.json"
         path.write_text(json.dumps(self.settings))
@@ -170,7 +180,7 @@
             sys.executable,
             "-m",
             "egretlift.sidecar",
-            cwd=ROOT,
+            cwd=root,
             env={**os.environ, "EGRETLIFT_NODE_FILE": str(path)},
             stdout=(Path(folder) / f"{self.name}.log").open("ab"),
         )
@@ -182,13 +192,27 @@
 
 
 class SidecarMesh:
-    """Daemons of one service in two zones, with their upstreams and a store.
+    """Daemons in two zones, with their upstreams and a store.
 
     Used as an asynchronous context manager, which starts and stops everything.
+
+    Parameters
+    ----------
+    count : int
+        Number of daemons.
+    services : sequence of str
+        Services that the daemons' upstreams run, in turn.
+    root : pathlib.Path
+        Source tree of the daemons' program.
+    slots : int
+        Slots that each upstream states.
     """
 
-    def __init__(self, count=2):
+    def __init__(self, count=2, services=("checkout",), root=ROOT, slots=8):
         self.count = count
+        self.slots = slots
+        self.services = services
+        self.root = root
         self.blocks = PortBlocks()
         self.folder = tempfile.TemporaryDirectory()
         self.store = None
@@ -201,13 +225,15 @@
         self.store_port = allocate_port(self.blocks)
         self.store_runner = await serve_metastore(self.store, self.store_port)
         self.store.put("config", "main", make_configuration(3))
-        self.http = aiohttp.ClientSession()
+        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         for number in range(self.count):
             ports = [allocate_port(self.blocks) for _ in range(7)]
-            sidecar = Sidecar(number, "ab"[number % 2], ports, self.store_port)
+            service = self.services[number % len(self.services)]
+            sidecar = Sidecar(number, "ab"[number % 2], service, ports, self.store_port)
+            sidecar.upstream.slots = self.slots
             self.sidecars.append(sidecar)
             await self.start_upstream(sidecar)
-            sidecar.process = await sidecar.start(self.folder.name)
+            sidecar.process = await sidecar.start(self.folder.name, self.root)
         for sidecar in self.sidecars:
             await self.wait_until_ready(sidecar)
         await self.wait_until_registered()
@@ -251,7 +277,7 @@
             "service": upstream.service,
             "address": f"127.0.0.1:{sidecar.ports[4]}",
             "zone": sidecar.settings["zone"],
-            "slots": 8,
+            "slots": upstream.slots,
             "state": upstream.state,
             "seq": upstream.beats,
             "born": upstream.born,
