Run the sidecar's loop on uvloop

Cause: after the server library was gone, the loop itself, its handles and transports were the largest part of a call's processor time.

Change: the sidecar runs on uvloop, with io_uring switched off.

--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -208,4 +208,7 @@
         for error in group.exceptions:
             print(f"event=settings-invalid error={str(error)!r}", file=sys.stderr)
         raise SystemExit(2) from None
-    anyio.run(run_daemon, settings, path)
+    # The users' platform does not permit io_uring, which libuv may use for files.
+    os.environ["UV_USE_IO_URING"] = "0"
+    options = {"use_uvloop": True}
+    anyio.run(run_daemon, settings, path, backend_options=options)
