Let requests wait a moment for a token of their organisation's rate

Cause: a request that found no token was refused at once while the host backed off from asking the owner, although tokens came a tenth of a second later. A refused caller returns after a second or more.

Change: such a request waits up to 0.4 s, as long as no more requests wait than will probably get a token in that time; the others are refused at once as before.

--- a/egretlift/quotas/purse.py
+++ b/egretlift/quotas/purse.py
@@ -12,6 +12,12 @@
 # After an attempt that brought no token, the owner is not asked again for this long.
 REQUEST_BACKOFF_S = 0.1
 DEMAND_SMOOTHING_S = 2.0
+# Longest time that a request waits for a token, in seconds. A refused caller would
+# return after a longer time.
+TOKEN_WAIT_S = 0.4
+# Requests that may wait on a host whatever its supply of tokens, for example before
+# the first grant.
+WAITING_MINIMUM = 4
 # A host that reaches no owner uses this fraction of its own share, because every such
 # host may hold one token besides; unused tokens of its own share expire after a time.
 FALLBACK_FRACTION = 0.6
@@ -39,6 +45,12 @@
         Tokens of this host's own share of the rate, used when it reaches no owner.
     fallback_updated_at : float
         When ``fallback_tokens`` was last increased.
+    granted_at : float
+        When the owner was asked for the last grant.
+    waiting : int
+        Requests that wait for a token.
+    supply : float
+        Smoothed tokens per second that the host got.
     """
 
     __slots__ = (
@@ -49,7 +61,10 @@
         "fallback_tokens",
         "fallback_updated_at",
         "expires_at",
+        "granted_at",
+        "supply",
         "tokens",
+        "waiting",
     )
 
     def __init__(self, now):
@@ -61,6 +76,9 @@
         self.next_request_at = now
         self.fallback_tokens = 0.0
         self.fallback_updated_at = float("-inf")
+        self.granted_at = now
+        self.waiting = 0
+        self.supply = 0.0
 
 
 def take_local_token(local, now):
@@ -87,6 +105,25 @@
     return False
 
 
+def may_wait(local):
+    """Return whether one more request may wait for a token.
+
+    No more may wait than will probably get one in time: an organisation that exceeds
+    its rate is refused at once.
+
+    Examples
+    --------
+    >>> local = LocalTokens(0.0)
+    >>> local.supply, local.waiting = 50.0, 19
+    >>> may_wait(local)
+    True
+    >>> local.waiting = 20
+    >>> may_wait(local)
+    False
+    """
+    return local.waiting < max(WAITING_MINIMUM, local.supply * TOKEN_WAIT_S)
+
+
 def prepare_request(local, now):
     """Return (requests since the last call, tokens to ask for) and reset the count."""
     elapsed_s = max(now - local.requested_at, 1e-3)
@@ -102,6 +139,10 @@
     """Add the tokens that the owner granted to a request sent at ``requested_at``."""
     if requested_at >= local.expires_at:
         local.tokens = 0.0
+    elapsed_s = max(requested_at - local.granted_at, 1e-3)
+    fraction = min(1.0, elapsed_s / DEMAND_SMOOTHING_S)
+    local.supply += fraction * (tokens / elapsed_s - local.supply)
+    local.granted_at = requested_at
     local.tokens += tokens
     local.expires_at = max(local.expires_at, requested_at + TOKEN_LIFETIME_S)
 
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -22,8 +22,10 @@
 )
 from egretlift.quotas.purse import (
     REQUEST_BACKOFF_S,
+    TOKEN_WAIT_S,
     add_fallback_tokens,
     add_granted_tokens,
+    may_wait,
     prepare_request,
     return_local_token,
     take_local_token,
@@ -42,30 +44,41 @@
     """Take a token of an organisation's rate and return whether there was one.
 
     Always returns True for an organisation without a rate. ``rank`` is that of the
-    route; the last tokens are reserved for rank 0. A call that finds no token while
-    tokens are being requested waits for that request.
+    route; the last tokens are reserved for rank 0. A call that finds no token waits
+    for one, unless more calls wait than will probably get one in time.
     """
     organisation = board.configuration.organisations.get(name)
     if organisation is None or not organisation.rate:
         return True
     local = board.ensure_local_tokens(name)
     local.counted += 1
-    while not take_local_token(local, read_clock()):
-        request = board.awaited_tokens.get(name)
-        if request is None:
-            return await fetch_and_take(board, organisation, local, rank)
-        await request.wait()
-    return True
-
-
-async def fetch_and_take(board, organisation, local, rank):
-    """Fetch tokens when none are left and return whether one could be taken."""
-    if read_clock() < local.next_request_at:
-        return False
-    await fetch_tokens(board, organisation, local, rank)
-    # Read the clock again: the tokens may have expired while this process waited.
-    if take_local_token(local, read_clock()):
+    now = read_clock()
+    if take_local_token(local, now):
         return True
+    if not may_wait(local):
+        return False
+    local.waiting += 1
+    try:
+        return await wait_for_token(board, organisation, local, rank, now)
+    finally:
+        local.waiting -= 1
+
+
+async def wait_for_token(board, organisation, local, rank, now):
+    """Take a token as soon as there is one; return False after ``TOKEN_WAIT_S``."""
+    waits_until = now + TOKEN_WAIT_S
+    while now < waits_until:
+        request = board.awaited_tokens.get(organisation.name)
+        if request is not None:
+            await request.wait()
+        elif now < local.next_request_at:
+            await anyio.sleep(local.next_request_at - now)
+        else:
+            await fetch_tokens(board, organisation, local, rank)
+        # Read the clock again: the tokens may have expired while this process waited.
+        now = read_clock()
+        if take_local_token(local, now):
+            return True
     log_refusal(board, organisation, local, rank)
     return False
 
