Keep repeats for important calls while an upstream fails many

Cause: when all upstreams of a service shed much of what they get, the budget of repeats does not suffice, and lookups, which make most calls, used it up. A confirmation makes five calls to that service and fails with each of them.

Change: less important calls repeat from the part of the budget that they earn, and from a quarter of it while repeats of important calls are refused. The slack stays open to all.

--- a/egretlift/retries/tests/test_arrivals.py
+++ b/egretlift/retries/tests/test_arrivals.py
@@ -121,15 +121,50 @@
         )
         self.assertGreater(succeeded, MIN_SUCCESS_FRACTION * 0.8 * 3000)
 
+    def test_important_requests_at_an_upstream_that_sheds_much(self):
+        """Guards against bookings that fail because lookups use up the repeats.
 
-def run_request(arrivals, bounds, now, draws):
+        Load: all upstreams of a service shed three of ten calls for 20 s; a quarter of
+        the requests are important, and each makes five calls. Each call may be repeated
+        twice, which would let 0.87 of the requests succeed.
+        """
+        draws = random.Random(1)
+        bounds = make_bounds()
+        arrivals = ArrivalCounts(bounds.repeat_window_s)
+        succeeded = sum(
+            run_request(arrivals, bounds, number / 200, draws, 0.3, number % 4 == 0, 2)
+            and number % 4 == 0
+            for number in range(4000)
+        )
+        self.assertGreater(succeeded, MIN_SUCCESS_FRACTION * 0.87 * 1000)
+
+    def test_others_when_few_calls_fail(self):
+        """Guards against lookups without repeats while the budget suffices for all.
+
+        Load: as above, but one call in twenty is shed.
+        """
+        draws = random.Random(1)
+        bounds = make_bounds()
+        arrivals = ArrivalCounts(bounds.repeat_window_s)
+        succeeded = sum(
+            run_request(arrivals, bounds, number / 200, draws, 0.05, number % 4 == 0, 2)
+            for number in range(4000)
+        )
+        self.assertGreater(succeeded, 0.99 * 4000)
+
+
+def run_request(
+    arrivals, bounds, now, draws, failing=0.2, is_important=True, repeats=1
+):
     """Return whether all five calls of one request succeed, repeats included."""
     for _ in range(5):
-        record_first_arrival(arrivals, now)
-        if draws.random() > 0.2:
-            continue
-        if not admit_repeat(arrivals, bounds, 1, True, now) or draws.random() < 0.2:
-            return False
+        record_first_arrival(arrivals, now, is_important)
+        left = repeats
+        while draws.random() < failing:
+            admitted = admit_repeat(arrivals, bounds, 1, True, now, is_important)
+            if not left or not admitted:
+                return False
+            left -= 1
     return True
 
 
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -13,6 +13,7 @@
     record_first_arrival,
     record_repeated_arrival,
 )
+from egretlift.serving.checks import ROUTE_RANKS
 from egretlift.serving.parents import end_call, start_call
 from egretlift.serving.refusals import (
     NESTED_FAILURE,
@@ -74,6 +75,14 @@
         admission.withdraw_request(board.slots, slot_request, read_clock())
 
 
+def is_important(call):
+    """Return whether a call is of a route that is shed last.
+
+    A nested call has the rank of the request for which it is made.
+    """
+    return call.rank % ROUTE_RANKS == 0
+
+
 def check_repeat_budget(board, call, now):
     """Return whether the budget of repeats admits a call, and count it if repeated.
 
@@ -82,7 +91,8 @@
     arrivals, bounds = board.arrivals, board.settings.bounds
     hosts = board.count_hosts()
     if call.repeated:
-        return admit_repeat(arrivals, bounds, hosts, call.is_inner, now)
+        important = is_important(call)
+        return admit_repeat(arrivals, bounds, hosts, call.is_inner, now, important)
     return not call.of_repeat or may_admit_call_of_repeat(arrivals, bounds, hosts, now)
 
 
@@ -153,7 +163,7 @@
         if call.of_repeat and not call.repeated:
             record_repeated_arrival(board.arrivals, read_clock())
         elif not call.repeated:
-            record_first_arrival(board.arrivals, read_clock())
+            record_first_arrival(board.arrivals, read_clock(), is_important(call))
 
     try:
         received = await exchange(
