Mend faults that earlier work left in checks, settings and the store's client

- Failed checks kept their reason but lost their remedy; two refusals had none.
- A removal of a host entry was logged although the store had kept the entry.
- Hosts that reported a newer configuration during a fetch were forgotten.
- Superscript digits passed as ports and counts, booleans as ports and slots.
- A heartbeat interval of a wrong type ended the daemon with a bare error.

Each has a row in a test, but for the hosts and the remedies.

--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -77,7 +77,8 @@
     if not isinstance(values, list) or len(values) != len(HostEntry.FIELDS):
         raise ObjectInvalid(f"host entry {values!r:.200}", REMEDY)
     for (name, kind), value in zip(HostEntry.FIELDS, values, strict=True):
-        if not isinstance(value, kind):
+        # A boolean is an int in Python, but no port, counter or number of slots.
+        if not isinstance(value, kind) or (kind is not bool and type(value) is bool):
             raise ObjectInvalid(f"host entry: {name} is {value!r}", REMEDY)
     names = HostEntry.__slots__
     return HostEntry(**dict(zip(names, values, strict=True)))
--- a/egretlift/membership/tests/test_peers.py
+++ b/egretlift/membership/tests/test_peers.py
@@ -261,7 +261,16 @@
 
     def test_malformed_entry(self):
         """Guards against malformed entries that are accepted."""
-        for values in (None, {}, [], ["b"] * 14):
+        true_port, true_slots = make_entry(peer_port=True), make_entry(slots=True)
+        for values in (
+            None,
+            {},
+            [],
+            ["b"] * 14,
+            encode_entry(true_port),
+            encode_entry(true_slots),
+            encode_entry(make_entry(stopping=1)),
+        ):
             with self.subTest(values=values), self.assertRaises(ObjectInvalid):
                 decode_entry(values)
 
--- a/egretlift/platform/bootfile.py
+++ b/egretlift/platform/bootfile.py
@@ -19,6 +19,7 @@
     "quota_slack": 0.0,
     "config_apply_s": 2.0,
 }
+DEFAULT_HEARTBEAT_S = 1.5
 
 
 def read_endpoint(value, name, errors):
@@ -51,6 +52,21 @@
     return value
 
 
+def read_heartbeat_s(document, errors):
+    """Return the interval of heartbeats in seconds; add to ``errors`` if invalid.
+
+    An empty field stands for the default.
+    """
+    value = document.get("heartbeat_s")
+    if not value:
+        return DEFAULT_HEARTBEAT_S
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
+        remedy = "give a number greater than 0 in the settings file"
+        errors.append(SettingError(f"heartbeat_s is {value!r}", remedy))
+        return DEFAULT_HEARTBEAT_S
+    return float(value)
+
+
 def read_bounds(section, errors):
     """Return the bounds that the platform sets for the daemon; add to ``errors``."""
     values = {}
@@ -102,7 +118,6 @@
         remedy = "give a list of the first and the last port"
         errors.append(SettingError(f"internal_ports is {ports!r}", remedy))
         ports = [0, 0]
-    heartbeat_s = document.get("heartbeat_s", 1.5)
     settings = SidecarSettings(
         host=read_text(document, "node_name", errors),
         zone=read_text(document, "zone", errors),
@@ -119,7 +134,7 @@
         is_first_start=document.get("bootstrap") is True,
         report_port=ports[0],
         metrics_port=ports[0] + 1,
-        heartbeat_s=float(heartbeat_s) if heartbeat_s else 1.5,
+        heartbeat_s=read_heartbeat_s(document, errors),
         bounds=read_bounds(read_section(document, "bounds", errors), errors),
     )
     if errors:
--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -221,10 +221,11 @@
         return decode_object(document)
 
     async def delete_object(self, kind, name, revision):
-        """Delete an object if it has this revision; do nothing if it has another."""
-        await self.send(
+        """Delete an object if it has this revision, and return whether it did."""
+        status, _ = await self.send(
             "DELETE", f"{make_kind_path(kind)}/{name}", query={"revision": revision}
         )
+        return status == 200
 
 
 def make_kind_path(kind):
--- a/egretlift/platform/tests/test_decoding.py
+++ b/egretlift/platform/tests/test_decoding.py
@@ -66,6 +66,9 @@
             ({"bounds": {"drain_s": True, "grace_s": -1}}, 2),
             ({"internal_ports": [7000]}, 1),
             ({"platform": {"address": "nowhere"}}, 1),
+            ({"heartbeat_s": "soon"}, 1),
+            ({"heartbeat_s": True}, 1),
+            ({"heartbeat_s": -1}, 1),
         ):
             with self.subTest(changes=changes):
                 with self.assertRaises(ExceptionGroup) as caught:
--- a/egretlift/platform/tests/test_store.py
+++ b/egretlift/platform/tests/test_store.py
@@ -75,9 +75,10 @@
             with self.assertRaises(ConflictError) as caught:
                 await client.put_object("k", "absent", {}, 5)
             self.assertIsNone(caught.exception.current)
-            await client.delete_object("k", "a", created.revision)
+            self.assertFalse(await client.delete_object("k", "a", created.revision))
             self.assertIsNotNone(await client.get_object("k", "a"))
-            await client.delete_object("k", "a", replaced.revision)
+            self.assertTrue(await client.delete_object("k", "a", replaced.revision))
+            self.assertFalse(await client.delete_object("k", "absent", 5))
             self.assertIsNone(await client.get_object("k", "a"))
 
         run_with_store(use_store)
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -27,6 +27,8 @@
     "overload": "retry after the stated time; the service is overloaded",
     "deadline": "retry; the time left was too short",
     "draining": "retry; the upstream is draining",
+    "stopping": "retry on another connection; this host is stopping",
+    "gone": "retry; the upstream has left",
     "absent": "retry; no upstream of the service is available",
     "unreachable": "retry; the upstream could not be reached",
     "unconnected": "retry; the host could not be reached",
@@ -49,6 +51,13 @@
     return answer
 
 
+def answer_refusal(refusal):
+    """Return the answer for a refusal of a check, with the remedy of that check."""
+    answer = make_refusal_answer(refusal)
+    answer.reached = False
+    return answer
+
+
 def answer_unknown(reason, status):
     """Return the answer to a call that may have run."""
     remedy = "the request may have run; query its result before sending a new one"
--- a/egretlift/settings.py
+++ b/egretlift/settings.py
@@ -36,9 +36,17 @@
         raise ValueError("give an IPv4 or IPv6 address, not a host name") from None
 
 
+def is_number(text):
+    """Return whether a text is a whole number that ``int`` reads.
+
+    ``isdigit`` alone also accepts digits that ``int`` does not, such as superscripts.
+    """
+    return text.isascii() and text.isdigit()
+
+
 def parse_port(text):
     """Return a TCP port from 1 to 65535."""
-    if not text.isdigit() or not 1 <= int(text) <= 65535:
+    if not is_number(text) or not 1 <= int(text) <= 65535:
         raise ValueError("give a port from 1 to 65535")
     return int(text)
 
@@ -100,7 +108,7 @@
 
 def parse_count(text):
     """Return a whole number greater than zero."""
-    if not text.isdigit() or int(text) < 1:
+    if not is_number(text) or int(text) < 1:
         raise ValueError("give a whole number greater than 0")
     return int(text)
 
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -7,7 +7,12 @@
 from egretlift.serving.call import Call
 from egretlift.serving.offers import serve_call
 from egretlift.serving.parents import find_parent
-from egretlift.serving.refusals import choose_retry_after_s, indicates_overload, refuse
+from egretlift.serving.refusals import (
+    answer_refusal,
+    choose_retry_after_s,
+    indicates_overload,
+    refuse,
+)
 from egretlift.serving.routes import choose_service
 from egretlift.sidecar.bodies import check_body
 from egretlift.sidecar.delivery import make_response
@@ -43,7 +48,7 @@
             parent.nested_failed = True
             parent.nested_overloaded |= indicates_overload(answer)
     except checks.CheckFailed as error:
-        answer = refuse(error.refusal.reason, error.refusal.status)
+        answer = answer_refusal(error.refusal)
     record_answer(board, call, answer, read_clock() - started)
     return answer
 
--- a/egretlift/sidecar/fetching.py
+++ b/egretlift/sidecar/fetching.py
@@ -31,7 +31,9 @@
             await anyio.sleep(OTHER_ZONES_DELAY_S)
             await fetch_from_sources(board, choose_sources(board, same_zone=True))
             await fetch_from_sources(board, remote)
-        board.fetch_sources.clear()
+        # Hosts that reported a newer configuration meanwhile are asked next.
+        if not board.fetch_due.is_set():
+            board.fetch_sources.clear()
 
 
 def choose_sources(board, same_zone):
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -14,7 +14,7 @@
 from egretlift.serving.checks import CheckFailed
 from egretlift.serving.execution import execute_locally
 from egretlift.serving.offers import REACHED_HEADER
-from egretlift.serving.refusals import refuse
+from egretlift.serving.refusals import answer_refusal, refuse
 from egretlift.sidecar.bodies import check_body
 from egretlift.sidecar.delivery import make_response
 from egretlift.sidecar.fetching import CONFIGURATION_PATH, HOSTS_PATH
@@ -38,7 +38,7 @@
         try:
             answer = await execute_for_peer(board, request)
         except CheckFailed as error:
-            answer = refuse(error.refusal.reason, error.refusal.status)
+            answer = answer_refusal(error.refusal)
         extra = (
             (OUTCOME_HEADER, answer.outcome.value),
             (REASON_HEADER, answer.reason),
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -156,11 +156,14 @@
         for peer in find_abandoned(board.ensure_directory().near, read_clock()):
             name = peer.entry.host
             try:
-                await board.store.delete_object(HOST_KIND, name, peer.revision)
+                removed = await board.store.delete_object(
+                    HOST_KIND, name, peer.revision
+                )
             except PlatformUnavailable as error:
                 board.log_change("entry-not-removed", peer=name, cause=str(error))
                 break
-            board.log_change("entry-removed", peer=name, revision=peer.revision)
+            event = "entry-removed" if removed else "entry-changed-meanwhile"
+            board.log_change(event, peer=name, revision=peer.revision)
 
 
 def is_follower(board):
--- a/egretlift/tests/test_settings.py
+++ b/egretlift/tests/test_settings.py
@@ -31,6 +31,7 @@
 
     @params(
         ("caller-port", "70000"),
+        ("caller-port", "8\u00b2"),
         ("address", "localhost"),
         ("seeds", "127.0.0.1"),
         ("clock-drift", "2"),
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -270,7 +270,8 @@
         """Set the idle limit from the peer's ``Keep-Alive: timeout`` header."""
         for part in fields.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
+            value = value.strip()
+            if name.lower() == "timeout" and value.isascii() and value.isdigit():
                 self.idle_limit_s = max(0.0, int(value) - IDLE_MARGIN_S)
 
     def fail(self, reason):
