Wait for a token a fraction of the request's time, and ask silent zones for no loan

Cause: a confirmation has 0.8 s; with half of it spent on the wait for a token, its run was cut off. In a zone that is cut off the owner asked the other zones for loans again and again, 0.1 s each, while requests waited.

Change: the wait takes 0.15 of the request's time at most; a zone that does not answer is asked for no loan for a second.

--- a/egretlift/quotas/home.py
+++ b/egretlift/quotas/home.py
@@ -24,6 +24,9 @@
 BORROWED_DEMAND_S = 0.5
 # After a failed attempt an owner borrows nothing for this long.
 BORROW_BACKOFF_S = 0.1
+# A zone that did not answer is asked for no loan for this long. Each attempt would
+# delay the requests that wait for tokens.
+LOAN_RETRY_S = 1.0
 # Fractions of the tokens that requests of rank 0, 1, and 2 or more leave to more
 # important requests.
 RESERVED_FRACTIONS = (0.0, 0.1, 0.25)
@@ -46,15 +49,25 @@
     fraction : float or None
         Fraction of the rate that the zone had at its last report, None while that
         is unknown.
+    next_loan_at : float
+        Until when the zone is asked for no loan.
     """
 
-    __slots__ = ("demand", "last_report_at", "host", "fraction", "tokens")
+    __slots__ = (
+        "demand",
+        "fraction",
+        "host",
+        "last_report_at",
+        "next_loan_at",
+        "tokens",
+    )
 
     def __init__(self):
         self.host = None
         self.demand = 0.0
         self.tokens = 0.0
         self.last_report_at = float("-inf")
+        self.next_loan_at = float("-inf")
         self.fraction = None
 
 
@@ -190,6 +203,7 @@
         for zone, usage in quota.zones.items()
         if usage.tokens >= MIN_LENDER_TOKENS
         and now - usage.last_report_at < REPORT_TIMEOUT_S
+        and now >= usage.next_loan_at
     ]
     return [zone for _, zone in sorted(found, reverse=True)[:MAX_LENDERS]]
 
@@ -219,6 +233,13 @@
     return granted
 
 
+def postpone_loan(quota, zone, now):
+    """Record that a zone did not answer a request for a loan."""
+    usage = quota.zones.get(zone)
+    if usage is not None:
+        usage.next_loan_at = now + LOAN_RETRY_S
+
+
 def add_loan(quota, zone, tokens):
     """Add the tokens that another zone has lent."""
     quota.bucket.tokens += tokens
--- a/egretlift/quotas/purse.py
+++ b/egretlift/quotas/purse.py
@@ -12,9 +12,10 @@
 # After an attempt that brought no token, the owner is not asked again for this long.
 REQUEST_BACKOFF_S = 0.1
 DEMAND_SMOOTHING_S = 2.0
-# Longest time that a request waits for a token, in seconds. A refused caller would
-# return after a longer time.
+# Longest time that a request waits for a token, in seconds, and as a fraction of the
+# time that it has. A refused caller would return after a longer time.
 TOKEN_WAIT_S = 0.4
+TOKEN_WAIT_SHARE = 0.15
 # Requests that may wait on a host whatever its supply of tokens, for example before
 # the first grant.
 WAITING_MINIMUM = 4
--- a/egretlift/quotas/tests/test_purse.py
+++ b/egretlift/quotas/tests/test_purse.py
@@ -2,7 +2,16 @@
 
 import unittest
 
-from egretlift.quotas.home import ZoneQuota, add_loan, grant_tokens, lend_tokens
+from egretlift.quotas.home import (
+    LOAN_RETRY_S,
+    ZoneQuota,
+    add_loan,
+    find_lenders,
+    grant_tokens,
+    lend_tokens,
+    postpone_loan,
+    record_zone_report,
+)
 from egretlift.quotas.purse import (
     FALLBACK_LIFETIME_S,
     TOKEN_LIFETIME_S,
@@ -110,6 +119,18 @@
         self.assertEqual(lender.bucket.tokens + borrower.bucket.tokens, 6.0)
         self.assertEqual(lend_tokens(ZoneQuota(0.0), 4.0), 0.0)
 
+    def test_zone_that_does_not_answer(self):
+        """Guards against requests that wait for loans of a zone that is cut off.
+
+        Load: a zone was cut off a moment ago, and its last report is still recent.
+        """
+        quota = ZoneQuota(0.0)
+        for zone in ("x", "y"):
+            record_zone_report(quota, zone, f"host-{zone}", 5.0, 9.0, 10.0)
+        postpone_loan(quota, "x", 10.0)
+        self.assertEqual(find_lenders(quota, 10.5), ["y"])
+        self.assertEqual(find_lenders(quota, 10.1 + LOAN_RETRY_S), ["y", "x"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -146,7 +146,7 @@
     The token is put back if the call was refused before it reached an upstream.
     """
     name = call.organisation
-    if name and not await take_token(board, name, call.route_rank):
+    if name and not await take_token(board, name, call.route_rank, call.deadline):
         return refuse("rate", 429)
     answer = await serve_call(board, call)
     if name and not answer.reached and answer.outcome is Outcome.REFUSED_NOT_RUN:
--- a/egretlift/sidecar/tests/test_tokens.py
+++ b/egretlift/sidecar/tests/test_tokens.py
@@ -45,11 +45,11 @@
         self.refused += event == "rate-used-up"
 
 
-async def take_tokens(requests, empty_s, batch):
+async def take_tokens(requests, empty_s, batch, time_s):
     """Return (requests admitted, seconds of the slowest) of requests sent at once.
 
     The owner grants nothing for ``empty_s`` seconds, and ``batch`` tokens at a time
-    afterwards.
+    afterwards. The requests have ``time_s`` seconds.
     """
     board, results = Board(), []
     began = read_clock()
@@ -58,7 +58,7 @@
         return batch if read_clock() - began >= empty_s else 0
 
     async def ask():
-        results.append(await tokens.take_token(board, "n", 2))
+        results.append(await tokens.take_token(board, "n", 2, began + time_s))
 
     with mock.patch.object(tokens, "grant_from_quota", grant):
         async with anyio.create_task_group() as group:
@@ -76,15 +76,18 @@
         Load: all hosts have restarted, and the owner of a rate has no token for a
         moment; or an organisation exceeds its rate, whose callers must not wait.
         """
-        for name, requests, empty_s, batch, admitted, limit_s in (
-            ("at once", 1, 0.0, 1, 1, 0.1),
-            ("a moment later", WAITING_MINIMUM, 0.2, 4, WAITING_MINIMUM, 0.4),
-            ("one after the other", WAITING_MINIMUM, 0.0, 1, WAITING_MINIMUM, 0.6),
-            ("never", 2, 9.0, 1, 0, TOKEN_WAIT_S + 0.3),
-            ("far more than the rate", 200, 0.2, 4, WAITING_MINIMUM, 0.4),
+        for name, requests, empty_s, batch, time_s, admitted, limit_s in (
+            ("at once", 1, 0.0, 1, 6.0, 1, 0.1),
+            ("a moment later", WAITING_MINIMUM, 0.2, 4, 6.0, WAITING_MINIMUM, 0.4),
+            ("one after the other", WAITING_MINIMUM, 0.0, 1, 6.0, WAITING_MINIMUM, 0.6),
+            ("never", 2, 9.0, 1, 6.0, 0, TOKEN_WAIT_S + 0.3),
+            ("far more than the rate", 200, 0.2, 4, 6.0, WAITING_MINIMUM, 0.4),
+            ("little time", 2, 0.3, 2, 0.8, 0, 0.25),
         ):
             with self.subTest(name):
-                found, slowest_s = anyio.run(take_tokens, requests, empty_s, batch)
+                found, slowest_s = anyio.run(
+                    take_tokens, requests, empty_s, batch, time_s
+                )
                 self.assertEqual(found, admitted)
                 self.assertLess(slowest_s, limit_s)
 
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -19,10 +19,12 @@
     find_shortfall,
     grant_tokens,
     lend_tokens,
+    postpone_loan,
 )
 from egretlift.quotas.purse import (
     REQUEST_BACKOFF_S,
     TOKEN_WAIT_S,
+    TOKEN_WAIT_SHARE,
     add_fallback_tokens,
     add_granted_tokens,
     may_wait,
@@ -40,12 +42,13 @@
 LOAN_TIMEOUT_S = 0.1
 
 
-async def take_token(board, name, rank):
+async def take_token(board, name, rank, deadline):
     """Take a token of an organisation's rate and return whether there was one.
 
     Always returns True for an organisation without a rate. ``rank`` is that of the
     route; the last tokens are reserved for rank 0. A call that finds no token waits
-    for one, unless more calls wait than will probably get one in time.
+    for one, for a fraction of the time until its ``deadline``, unless more calls wait
+    than will probably get one in time.
     """
     organisation = board.configuration.organisations.get(name)
     if organisation is None or not organisation.rate:
@@ -59,15 +62,15 @@
         return False
     local.waiting += 1
     try:
-        return await wait_for_token(board, organisation, local, rank, now)
+        wait_s = min(TOKEN_WAIT_S, TOKEN_WAIT_SHARE * (deadline - now))
+        return await wait_for_token(board, organisation, local, rank, now + wait_s)
     finally:
         local.waiting -= 1
 
 
-async def wait_for_token(board, organisation, local, rank, now):
-    """Take a token as soon as there is one; return False after ``TOKEN_WAIT_S``."""
-    waits_until = now + TOKEN_WAIT_S
-    while now < waits_until:
+async def wait_for_token(board, organisation, local, rank, waits_until):
+    """Take a token as soon as there is one; return False if there is none in time."""
+    while (now := read_clock()) < waits_until:
         request = board.awaited_tokens.get(organisation.name)
         if request is not None:
             await request.wait()
@@ -76,8 +79,7 @@
         else:
             await fetch_tokens(board, organisation, local, rank)
         # Read the clock again: the tokens may have expired while this process waited.
-        now = read_clock()
-        if take_local_token(local, now):
+        if take_local_token(local, read_clock()):
             return True
     log_refusal(board, organisation, local, rank)
     return False
@@ -237,7 +239,10 @@
         shortfall = f"{find_shortfall(quota, wanted):.2f}"
         query = {"organisation": name, "wanted": shortfall}
         given = await request_tokens(board, peer, LOANS_PATH, query, LOAN_TIMEOUT_S)
-        add_loan(quota, zone, given or 0.0)
+        if given is None:
+            postpone_loan(quota, zone, read_clock())
+            continue
+        add_loan(quota, zone, given)
         if quota.bucket.tokens >= 1.0:
             quota.next_borrow_at = read_clock()
             return
