Let one call at a time try a host that has failed, and avoid silent ones

Cause: in a cut zone, each time the ejection of a far host expired, all calls to its service went there for the 0.4 s until the first of them failed; and calls went on to hosts whose connections had gone silent until those broke after 1.5 s. Each of the calls that failed together doubled the ejection, so that far hosts were left out for up to 8 s after the cut.

Change: a host that has failed gets one call until it answers; failures during an ejection count as one; a host that answers none of its calls for 0.3 s, or four mean durations, is chosen only where no other is.

--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -16,6 +16,10 @@
 # Length of the first ejection of a host after a failed connection or a refusal because
 # it is unavailable. A report ends it early.
 EJECTION_S = 1.0
+# A host that answers none of its calls for this long, in seconds and in mean durations
+# of its calls, is taken for unresponsive.
+UNRESPONSIVE_S = 0.3
+UNRESPONSIVE_DURATIONS = 4.0
 # The length doubles with each successive failure, at most this many times.
 EJECTION_DOUBLINGS_MAXIMUM = 3
 # The entry of a host that has not reported for this long is deleted from the store.
@@ -206,6 +210,8 @@
     discovered_at : float
         Monotonic time at which the host was discovered, or its entry was last replaced
         from the store.
+    waiting_since : float
+        When the host last answered, or was sent the first of its calls in progress.
     ejected_until : float
         Monotonic time until which the host gets no calls after a failed connection or
         a refusal.
@@ -252,6 +258,7 @@
         "store_served",
         "successive_failures",
         "version",
+        "waiting_since",
     )
 
     def __init__(self, entry, now):
@@ -263,6 +270,7 @@
         self.load_at = now
         self.number = -1
         self.outstanding = 0
+        self.waiting_since = now
         self.version = 0
         self.store_served = None
         self.successive_failures = 0
@@ -393,8 +401,11 @@
     """Send no calls to a host until its next report or until the ejection expires.
 
     Hosts of other zones report too rarely to end an ejection, so its length doubles
-    with each successive failure, from `EJECTION_S` up to eight times that.
+    with each successive failure, from `EJECTION_S` up to eight times that. Calls that
+    fail while the host is ejected count as the same failure.
     """
+    if now < peer.ejected_until:
+        return
     peer.ejected_until = now + EJECTION_S * 2 ** min(
         peer.successive_failures, EJECTION_DOUBLINGS_MAXIMUM
     )
@@ -407,6 +418,19 @@
     peer.successive_failures = 0
 
 
+def is_unresponsive(peer, now):
+    """Return whether a host has not answered any of its calls for unusually long.
+
+    It may be behind a network partition that began a moment ago: its connections are
+    silent then, and new calls to it would be lost as well.
+    """
+    if not peer.outstanding:
+        return False
+    duration_s = peer.load.duration_s if peer.load else 0.0
+    limit_s = max(UNRESPONSIVE_S, UNRESPONSIVE_DURATIONS * duration_s)
+    return now - peer.waiting_since > limit_s
+
+
 def may_call(peer, zone, now, interval_s):
     """Return whether a call may be sent to a host.
 
@@ -424,6 +448,9 @@
     entry = peer.entry
     if entry.state != READY or entry.stopping or now < peer.ejected_until:
         return False
+    if peer.successive_failures and peer.outstanding:
+        # One call at a time tries a host that has failed, until it answers.
+        return False
     if entry.zone != zone:
         return not peer.removed
     if peer.last_report_at is None:
--- a/egretlift/membership/tests/test_peers.py
+++ b/egretlift/membership/tests/test_peers.py
@@ -5,6 +5,7 @@
 from egretlift.errors import ObjectInvalid
 from egretlift.load import Load, decode_load
 from egretlift.membership.peers import (
+    EJECTION_S,
     HostEntry,
     Report,
     decode_entry,
@@ -14,6 +15,7 @@
     encode_report,
     find_abandoned,
     find_departed,
+    is_unresponsive,
     may_call,
     merge_report,
     merge_stored_entry,
@@ -148,6 +150,45 @@
         peer.removed = True
         self.assertFalse(may_call(peer, "y", now + 9.0, INTERVAL_S))
 
+    def test_one_call_tries_a_host_that_has_failed(self):
+        """Guards against many calls that wait for a host which is still cut off.
+
+        Load: hundreds of calls a second to a service, while another zone is cut off,
+        at the moments when an ejection of its hosts expires.
+        """
+        peers = {}
+        merge_stored_entry(peers, make_entry(), 3, 0.0, INTERVAL_S)
+        peer = peers["b"]
+        # Calls that were in progress when the zone was cut off fail together.
+        for number in range(50):
+            eject(peer, number / 1000)
+        self.assertEqual(peer.ejected_until, EJECTION_S)
+        self.assertTrue(may_call(peer, "y", EJECTION_S, INTERVAL_S))
+        peer.outstanding = 1
+        self.assertFalse(may_call(peer, "y", EJECTION_S, INTERVAL_S))
+        readmit(peer)
+        self.assertTrue(may_call(peer, "y", EJECTION_S, INTERVAL_S))
+
+    def test_unresponsive_host(self):
+        """Guards against calls lost on connections that have gone silent.
+
+        Load: a zone is cut off, and its hosts' connections stay open without answers.
+        """
+        for name, outstanding, duration_s, silent_s, expected in (
+            ("no call in progress", 0, 0.05, 9.0, False),
+            ("answered a moment ago", 3, 0.05, 0.1, False),
+            ("silent", 3, 0.05, 0.4, True),
+            ("slow calls", 3, 0.5, 0.4, False),
+            ("silent for longer than slow calls", 3, 0.5, 2.5, True),
+        ):
+            with self.subTest(name):
+                peers = {}
+                merge_report(peers, make_report(), 0.0)
+                peer = peers["b"]
+                peer.load = Load(1, 8, 0, duration_s)
+                peer.outstanding = outstanding
+                self.assertEqual(is_unresponsive(peer, silent_s), expected)
+
     def test_short_reports(self):
         """Guards against short reports that change or hide the state in the entry."""
         peers = {}
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -2,7 +2,13 @@
 
 from egretlift.clock import read_clock
 from egretlift.load import decode_load, encode_load
-from egretlift.membership.peers import eject, may_call, readmit, set_load
+from egretlift.membership.peers import (
+    eject,
+    is_unresponsive,
+    may_call,
+    readmit,
+    set_load,
+)
 from egretlift.outcome import (
     AGE_HEADER,
     CONTEXT_HEADER,
@@ -185,7 +191,10 @@
 
 
 def make_peer_candidate(peer, near, now):
-    """Return another host as a candidate."""
+    """Return another host as a candidate; an unresponsive one counts as failing."""
+    failed = decay_failures(peer.failed, now - peer.failed_at)
+    if is_unresponsive(peer, now):
+        failed = 1.0
     return Candidate(
         peer.entry.host,
         near,
@@ -193,7 +202,7 @@
         now - peer.load_at,
         peer.sent,
         peer.outstanding,
-        decay_failures(peer.failed, now - peer.failed_at),
+        failed,
         peer.entry.slots,
     )
 
@@ -230,6 +239,8 @@
         (AGE_HEADER, encode_age(call, now)),
     ]
     data = encode_request(call.method, call.target, headers, call.body)
+    if not peer.outstanding:
+        peer.waiting_since = now
     peer.outstanding += 1
     peer.sent += 1
     try:
@@ -254,6 +265,7 @@
     if received is None:
         answer = answer_unknown("deadline", 504)
     else:
+        peer.waiting_since = read_clock()
         answer = read_peer_answer(peer, received)
     record_peer_outcome(peer, answer)
     return answer
