--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -208,7 +208,8 @@
         for error in group.exceptions:
             print(f"event=settings-invalid error={str(error)!r}", file=sys.stderr)
         raise SystemExit(2) from None
-    # The users' platform does not permit io_uring, which libuv may use for files.
+    # The users' platform does not permit io_uring, which libuv uses unless told not to.
+    # From uvloop 0.23 on, libuv uses it in any case; the dependencies exclude that.
     os.environ["UV_USE_IO_URING"] = "0"
     options = {"use_uvloop": True}
     anyio.run(run_daemon, settings, path, backend_options=options)
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -4,6 +4,7 @@
 import signal
 import time
 import unittest
+from pathlib import Path
 
 from standins.sidecars import KEY, SidecarMesh, make_configuration, wait_for
 
@@ -49,6 +50,19 @@
 
         run_mesh(scenario)
 
+    def test_event_loop(self):
+        """Guards against use of io_uring, which the platform does not permit."""
+
+        async def scenario(mesh):
+            await mesh.ask(mesh.sidecars[0])
+            for sidecar in mesh.sidecars:
+                folder = Path(f"/proc/{sidecar.process.pid}/fd")
+                opened = [str(link.readlink()) for link in folder.iterdir()]
+                self.assertTrue(any("socket" in name for name in opened))
+                self.assertFalse([name for name in opened if "io_uring" in name])
+
+        run_mesh(scenario)
+
     def test_failures_of_an_upstream(self):
         """Guards against retried bookings, and lookups that are not retried."""
 
