--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -53,9 +53,7 @@
 
 def answer_refusal(refusal):
     """Return the answer for a refusal of a check, with the remedy of that check."""
-    answer = make_refusal_answer(refusal)
-    answer.reached = False
-    return answer
+    return make_refusal_answer(refusal)
 
 
 def answer_unknown(reason, status):
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -11,6 +11,7 @@
 import httptools
 
 from egretlift.clock import read_clock
+from egretlift.transport.http_messages import NO_BODY_STATUSES
 
 # A connection is closed when sent bytes stay unacknowledged, or the keepalive probes of
 # an idle connection unanswered, for this long.
@@ -30,7 +31,6 @@
 STRAY_ANSWERS_MAXIMUM = 8
 # Bodies of all unfinished answers of one pool.
 BUFFERED_BYTES_MAXIMUM = 64 * 1024 * 1024
-NO_BODY_STATUSES = (204, 304)
 
 
 class ExchangeBroken(Exception):
