Log and count what an upstream states about its rate, and what it gets

A line upstream-limit is now written when the stated limit changes, upstream-limited once a second while it lasts, both with the number of requests given so far; the metrics have egretlift_upstream_requests_total by kind (first, nested, repeat) and egretlift_upstream_rate_limit. No decision uses the limit yet.

An answer without the header ends a limit only if its request was sent after the limit was last stated, since answers on several connections may be read out of order.

--- a/egretlift/platform/names.py
+++ b/egretlift/platform/names.py
@@ -13,6 +13,8 @@
 KEY = "Authorization"
 KEY_SCHEME = "Token "
 RETRY_AFTER = "Retry-After"
+# Requests a second that an upstream short of capacity takes from all hosts together.
+RATE_LIMIT = "Server-Limit"
 
 READINESS_PATH = "/-/readiness"
 UPSTREAMS_PATH = "/-/instances/"
--- a/egretlift/platform/requests.py
+++ b/egretlift/platform/requests.py
@@ -4,6 +4,8 @@
 of name and value as received.
 """
 
+import math
+
 from egretlift.platform import names
 from egretlift.transport.messages import HOP_BY_HOP
 
@@ -26,6 +28,7 @@
 KEY_FIELD = names.KEY.lower()
 SEAL_FIELD = names.SEAL.lower()
 NOT_RUN_FIELD = names.NOT_RUN.lower()
+RATE_LIMIT_FIELD = names.RATE_LIMIT.lower()
 CONNECTION_HEADERS = HOP_BY_HOP - {"host"} | {"content-length", "proxy-connection"}
 MAXIMUM_DEADLINE_MS = 3_600_000
 
@@ -102,6 +105,23 @@
     return SEAL_FIELD in fields and "content-encoding" not in fields
 
 
+def read_rate_limit(fields):
+    """Return the rate limit that an upstream states, in requests a second, or None.
+
+    None stands for no limit, and for a value that is no decimal number.
+
+    Examples
+    --------
+    >>> read_rate_limit({"server-limit": "10.4"}), read_rate_limit({})
+    (10.4, None)
+    """
+    try:
+        rate_per_s = float(fields[RATE_LIMIT_FIELD])
+    except (KeyError, ValueError):
+        return None
+    return rate_per_s if 0 <= rate_per_s < math.inf else None
+
+
 def matches_request(fields, request_id):
     """Return whether an upstream's answer belongs to a request.
 
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -4,6 +4,7 @@
 
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
+from egretlift.admission.upstream_limit import record_statement
 from egretlift.clock import read_clock
 from egretlift.membership.upstream import may_serve, refusal_reason
 from egretlift.outcome import Outcome
@@ -159,7 +160,10 @@
     def accepts(fields):
         return board.dialect.matches_request(fields, call.request_id)
 
+    sent_at = read_clock()
+
     def record_arrival():
+        board.count("upstream_requests", describe_kind(call))
         if call.of_repeat and not call.repeated:
             record_repeated_arrival(board.arrivals, read_clock())
         elif not call.repeated:
@@ -183,9 +187,36 @@
         return answer_unknown("upstream-broke", 502)
     if received is None:
         return answer_unknown("deadline", 504)
+    record_upstream_limit(board, received.fields, sent_at)
     return classify_response(board, received)
 
 
+def describe_kind(call):
+    """Return the kind of a request to the upstream, a label of its counter."""
+    if call.repeated or call.of_repeat:
+        return "repeat"
+    return "nested" if call.is_inner else "first"
+
+
+def record_upstream_limit(board, fields, sent_at):
+    """Record the rate limit that an answer states, and log a change.
+
+    ``sent_at`` is the monotonic time, in seconds, at which the request was sent.
+    """
+    limit = board.upstream_limit
+    before = limit.rate_per_s
+    stated = board.dialect.read_rate_limit(fields)
+    if record_statement(limit, stated, sent_at, read_clock()):
+        board.log_change(
+            "upstream-limit",
+            rate_per_s=limit.rate_per_s,
+            before=before,
+            requests=board.count_upstream_requests(),
+            running=board.slots.running,
+            queued=len(board.slots.waiting),
+        )
+
+
 def mark_unreachable(board, upstream_id):
     """Stop using the upstream until its next heartbeat and refuse waiting calls.
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -7,6 +7,7 @@
 
 from egretlift.admission.pace import CallerTimeouts, RouteAdmission
 from egretlift.admission.slots import Slots
+from egretlift.admission.upstream_limit import UpstreamLimit
 from egretlift.clock import read_clock
 from egretlift.events import record_event
 from egretlift.load import Load
@@ -78,6 +79,8 @@
         Decaying share of calls that failed at this host's upstream.
     own_failure_share_at : float
         Clock reading of the last update of ``own_failure_share``, in seconds.
+    upstream_limit : UpstreamLimit
+        Rate limit that the upstream states.
     running_calls : RunningCalls
         Calls that the upstream is executing.
     route_admissions : dict of str to RouteAdmission
@@ -148,6 +151,7 @@
         "store_lost_at",
         "store_ok",
         "upstream",
+        "upstream_limit",
         "upstream_pool",
         "view",
         "caller_timeouts",
@@ -169,6 +173,7 @@
         self.configuration = None
         self.upstream = UpstreamState()
         self.slots = Slots()
+        self.upstream_limit = UpstreamLimit()
         self.running_calls = RunningCalls()
         self.route_admissions = {}
         self.caller_timeouts = CallerTimeouts()
@@ -207,6 +212,11 @@
         key = (name, label)
         self.counters[key] = self.counters.get(key, 0) + 1
 
+    def count_upstream_requests(self):
+        """Return the number of requests sent to the upstream so far, of all kinds."""
+        kinds = ("first", "nested", "repeat")
+        return sum(self.counters.get(("upstream_requests", kind), 0) for kind in kinds)
+
     def log(self, event, call, /, **fields):
         """Log an event, at most ``LOG_LINES_PER_SECOND`` lines a second of each kind.
 
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -89,9 +89,22 @@
         now = read_clock()
         close_idle(board.upstream_pool, now)
         close_idle(board.peer_pool, now)
+        log_limited_upstream(board)
         reload_settings(board)
 
 
+def log_limited_upstream(board):
+    """Log how many requests the upstream has got while it states a rate limit."""
+    if board.upstream_limit.rate_per_s is not None:
+        board.log_change(
+            "upstream-limited",
+            rate_per_s=board.upstream_limit.rate_per_s,
+            requests=board.count_upstream_requests(),
+            running=board.slots.running,
+            queued=len(board.slots.waiting),
+        )
+
+
 def reload_settings(board):
     """Apply the settings file if it has changed; an invalid one changes nothing.
 
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -12,6 +12,7 @@
     "lines_left_out": "Log lines left out because of their number, by kind",
     "store_calls": "Calls to the store",
     "upstream_connections": "Connections opened to the upstream",
+    "upstream_requests": "Requests sent to the upstream, by kind",
 }
 
 
@@ -62,6 +63,7 @@
         if board.configuration
         else 0,
         "store_served": int(bool(board.store_ok)),
+        "upstream_rate_limit": board.upstream_limit.rate_per_s or 0,
     }
     for name, value in gauges.items():
         gauge = Gauge(f"egretlift_{name}", f"Current {name}", registry=registry)
