--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -74,6 +74,8 @@
         then resets the connection. ``full``: refuses without execution. ``fail``:
         answers with status 500. ``call``: makes one call through its daemon, except on
         paths under ``/inner/``, and fails if that call fails.
+    rate_limit : float or None
+        Requests a second that its answers state as its limit, None for no limit.
     beats : int
         Sequence number of the last heartbeat.
     born : int
@@ -89,6 +91,7 @@
         self.slow_s = 0.5
         self.call_after_s = 0.9
         self.behaviour = "serve"
+        self.rate_limit = None
         self.beats = 0
         self.state = "ready"
         self.born = int(1000 * time.time())
@@ -99,6 +102,8 @@
         A request for another instance gets 421.
         """
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = str(self.rate_limit)
         if request.headers.get("X-Expect-Instance") != self.upstream_id:
             return web.Response(status=421, headers=headers)
         if self.behaviour == "full":
