Start calls of an upstream at the rate it states at most

Cause: calls were started by free slots alone.

Change: each start takes a token of a bucket that fills at the stated rate and begins empty. Calls wait by rank; a call may wait a quarter of its time, is refused at once if that does not suffice, and as soon as more important calls have overtaken it. A timer starts the next call. A limit that is lowered, raised or ended applies at once.

Why it works: only the daemon on the host sends to its upstream, so a bucket there sees all arrivals: those of other hosts, repeats and nested calls.

--- a/egretlift/admission/slots.py
+++ b/egretlift/admission/slots.py
@@ -1,7 +1,8 @@
 """Slots of one upstream: which calls start, wait or are refused.
 
-The upstream reports how many requests it runs concurrently. Further calls wait in a
-priority queue, and a call is refused as soon as it can no longer end in time.
+The upstream reports how many requests it runs concurrently, and may limit the rate at
+which requests start. Further calls wait in a priority queue, and a call is refused as
+soon as it can no longer end in time.
 
 Calls of equal rank start in the order in which their callers' requests began, not in
 the order of their own arrival. A request makes several calls, one after the other, and
@@ -12,7 +13,11 @@
 import math
 from bisect import bisect_left, insort
 
+from egretlift.admission import upstream_limit
+from egretlift.admission.upstream_limit import UpstreamLimit
+
 OVERLOAD = "overload"
+LIMITED = "upstream-limit"
 DEADLINE = "deadline"
 # Share of the reported slots in use; an upstream slows down when nearly full.
 USABLE_SHARE = 0.95
@@ -77,6 +82,8 @@
     ----------
     limit : int
         Maximum number of running calls.
+    rate_limit : UpstreamLimit
+        Rate limit that the upstream states.
     running : int
         Number of running calls.
     waiting : dict of SlotRequest to None
@@ -99,6 +106,7 @@
         "durations",
         "limit",
         "order",
+        "rate_limit",
         "running",
         "sequence",
         "starts_since_oldest",
@@ -107,6 +115,7 @@
 
     def __init__(self, limit=1):
         self.limit = limit
+        self.rate_limit = UpstreamLimit()
         self.running = 0
         self.waiting = {}
         self.order = []
@@ -145,8 +154,12 @@
     """
     if slots.running < slots.limit:
         return 0.0
-    ahead = bisect_left(slots.order, (rank, origin_at, math.inf))
-    return (ahead + 1) * slots.duration_s / slots.limit
+    return (count_ahead(slots, rank, origin_at) + 1) * slots.duration_s / slots.limit
+
+
+def count_ahead(slots, rank, origin_at):
+    """Return the number of waiting calls that start before a new one."""
+    return bisect_left(slots.order, (rank, origin_at, math.inf))
 
 
 def request_slot(slots, request, now):
@@ -155,23 +168,81 @@
     Unless the call is refused, ``request.state`` is ``running`` or ``waiting``
     afterwards.
     """
-    if slots.running < slots.limit and not slots.waiting:
+    if not slots.waiting and may_start(slots, now):
         start(slots, request)
         return None
     wait_s = estimate_wait_s(slots, request.rank, request.origin_at)
-    if now + wait_s + get_mean_duration_s(slots, request.kind) > request.deadline:
+    latest_wait_s = compute_latest_wait_s(slots, request, now)
+    if wait_s > latest_wait_s:
         return OVERLOAD
+    ahead = count_ahead(slots, request.rank, request.origin_at)
+    rate_limit = slots.rate_limit
+    if upstream_limit.estimate_wait_s(rate_limit, ahead, now) > latest_wait_s:
+        return LIMITED
     request.state = "waiting"
     request.queued_at = now
     slots.sequence += 1
     request.sequence = slots.sequence
     slots.waiting[request] = None
     insort(slots.order, make_order_key(request))
+    if rate_limit.rate_per_s is not None:
+        refuse_overtaken(slots, ahead + 1, now)
     return None
 
 
+def compute_latest_wait_s(slots, request, now):
+    """Return how long a call may wait, in seconds, so that it still ends in time."""
+    return request.deadline - now - get_mean_duration_s(slots, request.kind)
+
+
+def record_rate_limit(slots, rate_per_s, sent_at, now):
+    """Record the rate limit in an answer; return whether the limit has changed.
+
+    After a change, waiting calls start or are refused as the new limit demands. The
+    parameters are those of `upstream_limit.record_statement`.
+    """
+    rate_limit = slots.rate_limit
+    if not upstream_limit.record_statement(rate_limit, rate_per_s, sent_at, now):
+        return False
+    if rate_limit.rate_per_s is not None:
+        refuse_overtaken(slots, 0, now)
+    start_waiting(slots, now)
+    return True
+
+
+def refuse_overtaken(slots, position, now):
+    """Refuse the waiting calls that more important ones have made too late.
+
+    ``position`` is the first in the order of starts from which to look.
+    """
+    for _, _, _, request in slots.order[position:]:
+        wait_s = upstream_limit.estimate_wait_s(slots.rate_limit, position, now)
+        if wait_s > compute_latest_wait_s(slots, request, now):
+            end_waiting(slots, request, LIMITED)
+        else:
+            position += 1
+
+
+def may_start(slots, now):
+    """Return whether a slot is free and the rate limit lets a call start now."""
+    return slots.running < slots.limit and upstream_limit.may_start(
+        slots.rate_limit, now
+    )
+
+
+def compute_start_delay_s(slots, now):
+    """Return the seconds until a waiting call may start, None if that is not known.
+
+    It is not known if no call waits, or if the next start needs a slot to be released.
+    """
+    if not slots.waiting or slots.running >= slots.limit:
+        return None
+    return upstream_limit.estimate_wait_s(slots.rate_limit, 0, now)
+
+
 def start(slots, request):
     """Mark a call as running."""
+    upstream_limit.take_token(slots.rate_limit)
     request.state = "running"
     slots.running += 1
 
@@ -182,6 +253,13 @@
     del slots.order[bisect_left(slots.order, make_order_key(request))]
 
 
+def end_waiting(slots, request, reason):
+    """Remove a call from the queue and refuse it."""
+    remove_waiting(slots, request)
+    request.state = "ended"
+    request.notify(reason)
+
+
 def withdraw_request(slots, request, now):
     """Withdraw a call that waits or runs; any other is left alone."""
     if request.state == "waiting":
@@ -210,8 +288,8 @@
 
 
 def start_waiting(slots, now):
-    """Start waiting calls while slots are free, and refuse those that are too late."""
-    while slots.running < slots.limit and slots.waiting:
+    """Start waiting calls while they may start, and refuse those that are too late."""
+    while slots.waiting and may_start(slots, now):
         request = pop_next(slots)
         if now + get_mean_duration_s(slots, request.kind) / 2 > request.deadline:
             request.state = "ended"
@@ -236,6 +314,4 @@
 def refuse_waiting(slots, reason):
     """Refuse all waiting calls, for example when the upstream drains."""
     for request in list(slots.waiting):
-        remove_waiting(slots, request)
-        request.state = "ended"
-        request.notify(reason)
+        end_waiting(slots, request, reason)
--- a/egretlift/admission/upstream_limit.py
+++ b/egretlift/admission/upstream_limit.py
@@ -2,9 +2,17 @@
 
 An upstream that is short of capacity states how many requests a second it takes from
 all hosts together, for as long as that holds. Only the daemon on its host sends
-requests to it, so this daemon knows all arrivals.
+requests to it, so this daemon can hold the limit alone, with a token bucket: each
+request that starts takes a token.
 """
 
+# Size of the bucket: the tokens of this many seconds, and at least one.
+BURST_S = 0.1
+BURST_MINIMUM = 1.0
+# An upstream that states a lower rate still gets requests at this one, since only the
+# answer to a request can tell that the limit has ended.
+RATE_MINIMUM_PER_S = 0.2
+
 
 class UpstreamLimit:
     """Rate limit that the current upstream states.
@@ -15,13 +23,19 @@
         Requests a second that the upstream takes; None if it states no limit.
     stated_at : float
         Monotonic time, in seconds, of the last answer that stated a limit.
+    tokens : float
+        Requests that may start at once.
+    refilled_at : float
+        Monotonic time, in seconds, of the last change of ``tokens``.
     """
 
-    __slots__ = ("rate_per_s", "stated_at")
+    __slots__ = ("rate_per_s", "refilled_at", "stated_at", "tokens")
 
     def __init__(self):
         self.rate_per_s = None
         self.stated_at = float("-inf")
+        self.tokens = 0.0
+        self.refilled_at = 0.0
 
 
 def record_statement(limit, rate_per_s, sent_at, now):
@@ -29,7 +43,8 @@
 
     An answer without a limit ends an earlier one only if its request was sent after
     that limit was last stated: answers on different connections may be read in another
-    order than the one in which the upstream wrote them.
+    order than the one in which the upstream wrote them. A new limit starts with an
+    empty bucket, since the requests that started before it count as well.
 
     Parameters
     ----------
@@ -53,8 +68,52 @@
     """
     before = limit.rate_per_s
     if rate_per_s is not None:
-        limit.rate_per_s = rate_per_s
+        refill(limit, now)
+        limit.rate_per_s = max(RATE_MINIMUM_PER_S, rate_per_s)
         limit.stated_at = now
     elif sent_at > limit.stated_at:
         limit.rate_per_s = None
     return limit.rate_per_s != before
+
+
+def refill(limit, now):
+    """Add the tokens for the time since the last refill, up to the bucket's size."""
+    if limit.rate_per_s is None:
+        limit.tokens = 0.0
+    else:
+        size = max(BURST_MINIMUM, BURST_S * limit.rate_per_s)
+        added = limit.rate_per_s * (now - limit.refilled_at)
+        limit.tokens = min(size, limit.tokens + added)
+    limit.refilled_at = now
+
+
+def may_start(limit, now):
+    """Return whether a request may start now."""
+    if limit.rate_per_s is None:
+        return True
+    refill(limit, now)
+    return limit.tokens >= 1.0
+
+
+def take_token(limit):
+    """Count a request that starts; `may_start` must have returned True."""
+    if limit.rate_per_s is not None:
+        limit.tokens -= 1.0
+
+
+def estimate_wait_s(limit, ahead, now):
+    """Return the seconds until a request may start, with ``ahead`` others before it.
+
+    Examples
+    --------
+    >>> limit = UpstreamLimit()
+    >>> estimate_wait_s(limit, 9, 0.0)
+    0.0
+    >>> changed = record_statement(limit, 10.0, 0.0, 0.0)
+    >>> estimate_wait_s(limit, 9, 0.0)
+    1.0
+    """
+    if limit.rate_per_s is None:
+        return 0.0
+    refill(limit, now)
+    return max(0.0, (ahead + 1 - limit.tokens) / limit.rate_per_s)
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -4,7 +4,6 @@
 
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
-from egretlift.admission.upstream_limit import record_statement
 from egretlift.clock import read_clock
 from egretlift.membership.upstream import may_serve, refusal_reason
 from egretlift.outcome import Outcome
@@ -34,8 +33,9 @@
 # arrive.
 ANSWER_MARGIN_S = 0.03
 MIN_REMAINING_S = 0.005
-# Fraction of its remaining time that a nested call may wait for a slot.
-NESTED_WAIT_SHARE = 0.25
+# Fraction of its remaining time that a nested call may wait for a slot, and any call
+# for a start under a rate limit.
+WAIT_SHARE = 0.25
 
 
 async def execute_locally(board, call):
@@ -68,12 +68,34 @@
         return refuse(reason)
     try:
         if slot_request.state == "waiting":
+            schedule_start(board)
             reason = await started
             if reason:
                 return refuse(reason)
         return await send_with_slot(board, call, slot_request)
     finally:
         admission.withdraw_request(board.slots, slot_request, read_clock())
+        schedule_start(board)
+
+
+def schedule_start(board):
+    """Set the timer for the next start if it needs no slot to be released.
+
+    Does nothing while the timer is set.
+    """
+    if board.start_timer is not None:
+        return
+    delay_s = admission.compute_start_delay_s(board.slots, read_clock())
+    if delay_s is not None:
+        loop = asyncio.get_running_loop()
+        board.start_timer = loop.call_later(delay_s, start_waiting_calls, board)
+
+
+def start_waiting_calls(board):
+    """Start the calls that the rate limit of the upstream lets start now."""
+    board.start_timer = None
+    admission.start_waiting(board.slots, read_clock())
+    schedule_start(board)
 
 
 def is_important(call):
@@ -101,13 +123,14 @@
     """Return the latest expected end at which a call is still admitted.
 
     The value is a monotonic time in seconds. It is the deadline, except for nested
-    calls, which may wait for a slot only for a fraction of the remaining time. An
-    upstream usually makes several calls for a request; if one of them waited until the
-    deadline, the request would miss it.
+    calls and under a rate limit, where a call may wait only for a fraction of the
+    remaining time. An upstream usually makes several calls for a request; if one of
+    them waited until the deadline, the request would miss it. A rate limit lasts, so a
+    call that does not start soon is better told to come back.
     """
-    if not call.is_inner:
+    if not call.is_inner and board.slots.rate_limit.rate_per_s is None:
         return call.deadline
-    wait_s = NESTED_WAIT_SHARE * (call.deadline - now)
+    wait_s = WAIT_SHARE * (call.deadline - now)
     mean_duration_s = admission.get_mean_duration_s(board.slots, call.route)
     return min(call.deadline, now + wait_s + mean_duration_s)
 
@@ -203,18 +226,23 @@
 
     ``sent_at`` is the monotonic time, in seconds, at which the request was sent.
     """
-    limit = board.upstream_limit
-    before = limit.rate_per_s
+    slots = board.slots
+    before = slots.rate_limit.rate_per_s
     stated = board.dialect.read_rate_limit(fields)
-    if record_statement(limit, stated, sent_at, read_clock()):
-        board.log_change(
-            "upstream-limit",
-            rate_per_s=limit.rate_per_s,
-            before=before,
-            requests=board.count_upstream_requests(),
-            running=board.slots.running,
-            queued=len(board.slots.waiting),
-        )
+    if not admission.record_rate_limit(slots, stated, sent_at, read_clock()):
+        return
+    board.log_change(
+        "upstream-limit",
+        rate_per_s=slots.rate_limit.rate_per_s,
+        before=before,
+        requests=board.count_upstream_requests(),
+        running=slots.running,
+        queued=len(slots.waiting),
+    )
+    if board.start_timer is not None:
+        board.start_timer.cancel()
+        board.start_timer = None
+    schedule_start(board)
 
 
 def mark_unreachable(board, upstream_id):
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -11,7 +11,9 @@
 # Reasons that indicate overload, of this service or of one that it calls. The reason
 # "upstream-refused" is not among them: an upstream that refuses calls although it has
 # free slots is faulty, and sending fewer calls would not help.
-OVERLOAD_REASONS = frozenset(("overload", "deadline", "pressure", NESTED_OVERLOAD))
+OVERLOAD_REASONS = frozenset(
+    ("overload", "deadline", "pressure", "upstream-limit", NESTED_OVERLOAD)
+)
 # Reasons after which the call is not sent to another host, as it would fail there too.
 FINAL_REASONS = frozenset(
     ("repeat-budget", "pressure", NESTED_FAILURE, NESTED_OVERLOAD)
@@ -34,6 +36,7 @@
     "unconnected": "retry; the host could not be reached",
     "no-upstream": "retry; no upstream of the service is available",
     "upstream-refused": "retry after the stated time; the upstream refused the call",
+    "upstream-limit": "retry after the stated time; the service takes fewer requests",
     "repeat-budget": "retry after the stated time; the budget of repeats is used up",
     RATE: "send fewer requests; the organisation's rate is used up",
     "pressure": "retry after the stated time; a dependency is overloaded",
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -7,7 +7,6 @@
 
 from egretlift.admission.pace import CallerTimeouts, RouteAdmission
 from egretlift.admission.slots import Slots
-from egretlift.admission.upstream_limit import UpstreamLimit
 from egretlift.clock import read_clock
 from egretlift.events import record_event
 from egretlift.load import Load
@@ -79,8 +78,8 @@
         Decaying share of calls that failed at this host's upstream.
     own_failure_share_at : float
         Clock reading of the last update of ``own_failure_share``, in seconds.
-    upstream_limit : UpstreamLimit
-        Rate limit that the upstream states.
+    start_timer : TimerHandle or None
+        Starts the next waiting call when the rate limit of the upstream allows it.
     running_calls : RunningCalls
         Calls that the upstream is executing.
     route_admissions : dict of str to RouteAdmission
@@ -146,12 +145,12 @@
         "settings_content",
         "settings_path",
         "slots",
+        "start_timer",
         "stopping",
         "store",
         "store_lost_at",
         "store_ok",
         "upstream",
-        "upstream_limit",
         "upstream_pool",
         "view",
         "caller_timeouts",
@@ -173,7 +172,7 @@
         self.configuration = None
         self.upstream = UpstreamState()
         self.slots = Slots()
-        self.upstream_limit = UpstreamLimit()
+        self.start_timer = None
         self.running_calls = RunningCalls()
         self.route_admissions = {}
         self.caller_timeouts = CallerTimeouts()
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -95,10 +95,10 @@
 
 def log_limited_upstream(board):
     """Log how many requests the upstream has got while it states a rate limit."""
-    if board.upstream_limit.rate_per_s is not None:
+    if board.slots.rate_limit.rate_per_s is not None:
         board.log_change(
             "upstream-limited",
-            rate_per_s=board.upstream_limit.rate_per_s,
+            rate_per_s=board.slots.rate_limit.rate_per_s,
             requests=board.count_upstream_requests(),
             running=board.slots.running,
             queued=len(board.slots.waiting),
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -63,7 +63,7 @@
         if board.configuration
         else 0,
         "store_served": int(bool(board.store_ok)),
-        "upstream_rate_limit": board.upstream_limit.rate_per_s or 0,
+        "upstream_rate_limit": board.slots.rate_limit.rate_per_s or 0,
     }
     for name, value in gauges.items():
         gauge = Gauge(f"egretlift_{name}", f"Current {name}", registry=registry)
