Choose hosts by the calls that their upstreams still take

Cause: the load that a daemon reports had no rate, so a host whose upstream limits its rate looked idle to the others, which sent it calls that had to wait there, while other hosts had room.

Change: a load states the rate limit and the time until the next call may start, both only while there is a limit; the expected end of a call at a host counts that time and the calls sent since. The time goes down as the load ages, so that a limited host is tried again: only an answer of its upstream can end the limit.

Measured: the new rows of test_choice fail without the change.

--- a/egretlift/membership/tests/test_peers.py
+++ b/egretlift/membership/tests/test_peers.py
@@ -317,7 +317,18 @@
 
     def test_malformed_load(self):
         """Guards against malformed or impossible loads that are accepted."""
-        for text in (None, "", "1 2", "a b c d", "1 0 0 5", "-1 8 0 5"):
+        for text in (
+            None,
+            "",
+            "1 2",
+            "a b c d",
+            "1 0 0 5",
+            "-1 8 0 5",
+            "1 8 0 5 9",
+            "1 8 0 5 0 9",
+            "1 8 0 5 9 -1",
+            "1 8 0 5 9 9 9",
+        ):
             with self.subTest(text=text):
                 self.assertIsNone(decode_load(text))
 
--- a/egretlift/routing/nearest.py
+++ b/egretlift/routing/nearest.py
@@ -74,7 +74,8 @@
     """Return the seconds until a call sent to a host now is expected to end.
 
     This is the mean duration of its calls, plus the time in the queue if its limit is
-    reached, plus a penalty for recent failures.
+    reached or its upstream limits the rate of calls, plus a penalty for recent
+    failures.
 
     Examples
     --------
@@ -90,6 +91,11 @@
     busy = candidate.outstanding + fresh * max(0.0, reported - candidate.outstanding)
     excess = busy + 1 - load.limit
     wait_s = max(0.0, excess) * load.duration_s / load.limit
+    if load.rate_per_s is not None:
+        # Goes down as time passes: a limited host must go on getting calls, since only
+        # an answer of its upstream tells that the limit has ended.
+        start_delay_s = load.start_delay_s + candidate.sent / load.rate_per_s
+        wait_s = max(wait_s, start_delay_s - candidate.age_s)
     return load.duration_s + wait_s + FAILURE_COST_S * candidate.failed
 
 
--- a/egretlift/routing/tests/test_nearest.py
+++ b/egretlift/routing/tests/test_nearest.py
@@ -13,10 +13,19 @@
 )
 
 
-def make_candidate(host, near, running=0, duration_s=0.05, failed=0.0, limit=16):
-    """Return a candidate whose load has just been reported."""
-    load = Load(running, limit, max(0, running - limit), duration_s)
-    return Candidate(host, near, load, 0.0, 0, 0, failed)
+def make_candidate(
+    host, near, running=0, duration_s=0.05, failed=0.0, limit=16, age_s=0.0, rate=()
+):
+    """Return a candidate with a load reported ``age_s`` ago.
+
+    ``rate`` gives its rate limit and the seconds until the next start.
+    """
+    load = Load(running, limit, max(0, running - limit), duration_s, *rate)
+    return Candidate(host, near, load, age_s, 0, 0, failed)
+
+
+# A host that limits the rate of its calls, as reported two seconds ago.
+LONG_LIMITED = {"rate": (1.0, 1.0), "age_s": 2.0}
 
 
 class TestChoice(unittest.TestCase):
@@ -31,6 +40,10 @@
             ("near full", {"running": 60, "duration_s": 0.1}, {}, "far"),
             ("near failing", {"failed": 0.5}, {}, "far"),
             ("both full", {"running": 60}, {"running": 60}, "near"),
+            ("near limited below its load", {"rate": (10.0, 0.3)}, {}, "far"),
+            ("near limited above its load", {"rate": (75.0, 0.0)}, {}, "near"),
+            ("near limited, not tried of late", LONG_LIMITED, {}, "near"),
+            ("far limited", {"duration_s": 0.2}, {"rate": (2.0, 0.5)}, "near"),
         ):
             with self.subTest(name):
                 candidates = [
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -7,6 +7,7 @@
 
 from egretlift.admission.pace import CallerTimeouts, RouteAdmission
 from egretlift.admission.slots import Slots
+from egretlift.admission.upstream_limit import estimate_wait_s
 from egretlift.clock import read_clock
 from egretlift.events import record_event
 from egretlift.load import Load
@@ -290,7 +291,15 @@
     def measure_load(self):
         """Return the load of this host's upstream."""
         slots = self.slots
-        return Load(slots.running, slots.limit, len(slots.waiting), slots.duration_s)
+        rate_limit, queued = slots.rate_limit, len(slots.waiting)
+        return Load(
+            slots.running,
+            slots.limit,
+            queued,
+            slots.duration_s,
+            rate_limit.rate_per_s,
+            estimate_wait_s(rate_limit, queued, read_clock()),
+        )
 
     def may_execute(self, service):
         """Return whether this host's upstream can run calls of a service."""
