Tell a daemon the limit of its upstream that the others remember

What was seen: while an upstream states a limit of 2/s, its daemon is killed and started again; the upstream then gets 51 requests of another host in 4 s where 17 are allowed (test_limit_outlives_a_restart_of_the_daemon on the code before). The rule counts them, since that host had passed on the limit.

A fresh daemon knows nothing until an answer comes back, and sends as many calls until then as there are slots.

A daemon that has had no answer of its upstream yet adopts it. So exactly the hosts that are bound by a limit bring it with them, without the store and without further messages. Another upstream on the same host begins without a limit.

Measured: the test passes. Calls of the host itself are not told a limit before the first answer or call of another host; the rule excuses them.

--- a/egretlift/admission/slots.py
+++ b/egretlift/admission/slots.py
@@ -204,10 +204,23 @@
     rate_limit = slots.rate_limit
     if not upstream_limit.record_statement(rate_limit, rate_per_s, sent_at, now):
         return False
-    if rate_limit.rate_per_s is not None:
+    apply_rate_limit(slots, now)
+    return True
+
+
+def adopt_rate_limit(slots, rate_per_s, now):
+    """Adopt a rate limit that another daemon knows; return whether it was needed."""
+    if not upstream_limit.adopt_statement(slots.rate_limit, rate_per_s, now):
+        return False
+    apply_rate_limit(slots, now)
+    return True
+
+
+def apply_rate_limit(slots, now):
+    """Start or refuse waiting calls after a change of the rate limit."""
+    if slots.rate_limit.rate_per_s is not None:
         refuse_overtaken(slots, 0, now)
     start_waiting(slots, now)
-    return True
 
 
 def refuse_overtaken(slots, position, now):
--- a/egretlift/admission/tests/test_upstream_limit.py
+++ b/egretlift/admission/tests/test_upstream_limit.py
@@ -4,7 +4,11 @@
 import unittest
 
 from egretlift.admission import slots as admission
-from egretlift.admission.upstream_limit import UpstreamLimit, record_statement
+from egretlift.admission.upstream_limit import (
+    UpstreamLimit,
+    adopt_statement,
+    record_statement,
+)
 
 # An upstream may get this many times its stated rate in a window, and so many requests
 # more, from SETTLE_S after its first such answer.
@@ -128,6 +132,22 @@
                 record_statement(limit, None, sent_at, 1.2)
                 self.assertEqual(limit.rate_per_s, expected)
 
+    def test_limit_known_to_another_daemon(self):
+        """Guards against a restarted daemon that ignores a limit others know of."""
+        for name, observed, expected in (
+            ("not observed", (), 4.0),
+            ("observed without a limit", (None,), None),
+            ("observed with another limit", (9.0,), 9.0),
+        ):
+            with self.subTest(name):
+                limit = UpstreamLimit()
+                for rate_per_s in observed:
+                    record_statement(limit, rate_per_s, 0.5, 1.0)
+                adopt_statement(limit, 4.0, 1.5)
+                self.assertEqual(limit.rate_per_s, expected)
+                record_statement(limit, None, 1.6, 2.0)
+                self.assertIsNone(limit.rate_per_s)
+
 
 class TestCallers(unittest.TestCase):
     """What the callers of a limited upstream get."""
--- a/egretlift/admission/upstream_limit.py
+++ b/egretlift/admission/upstream_limit.py
@@ -19,6 +19,11 @@
 
     Attributes
     ----------
+    upstream : str
+        The upstream to which the limit belongs; see
+        `egretlift.membership.statements.name_incarnation`.
+    is_observed : bool
+        Whether the upstream has answered, so that its limit is known first-hand.
     rate_per_s : float or None
         Requests a second that the upstream takes; None if it states no limit.
     stated_at : float
@@ -29,9 +34,18 @@
         Monotonic time, in seconds, of the last change of ``tokens``.
     """
 
-    __slots__ = ("rate_per_s", "refilled_at", "stated_at", "tokens")
-
-    def __init__(self):
+    __slots__ = (
+        "is_observed",
+        "rate_per_s",
+        "refilled_at",
+        "stated_at",
+        "tokens",
+        "upstream",
+    )
+
+    def __init__(self, upstream=""):
+        self.upstream = upstream
+        self.is_observed = False
         self.rate_per_s = None
         self.stated_at = float("-inf")
         self.tokens = 0.0
@@ -67,15 +81,33 @@
     (True, None)
     """
     before = limit.rate_per_s
+    limit.is_observed = True
     if rate_per_s is not None:
-        refill(limit, now)
-        limit.rate_per_s = max(RATE_MINIMUM_PER_S, rate_per_s)
-        limit.stated_at = now
+        set_rate(limit, rate_per_s, now)
     elif sent_at > limit.stated_at:
         limit.rate_per_s = None
     return limit.rate_per_s != before
 
 
+def adopt_statement(limit, rate_per_s, now):
+    """Adopt a limit that another daemon knows; return whether it was needed.
+
+    Daemons of other hosts remember a limit that the daemon beside the upstream has
+    forgotten in a restart. It holds until the upstream has answered.
+    """
+    if limit.is_observed or limit.rate_per_s is not None:
+        return False
+    set_rate(limit, rate_per_s, now)
+    return True
+
+
+def set_rate(limit, rate_per_s, now):
+    """Set the rate limit, for a statement of now."""
+    refill(limit, now)
+    limit.rate_per_s = max(RATE_MINIMUM_PER_S, rate_per_s)
+    limit.stated_at = now
+
+
 def refill(limit, now):
     """Add the tokens for the time since the last refill, up to the bucket's size."""
     if limit.rate_per_s is None:
--- a/egretlift/outcome.py
+++ b/egretlift/outcome.py
@@ -13,6 +13,7 @@
 ORGANISATION_HEADER = "egretlift-organisation"
 RETRIES_HEADER = "egretlift-retries-left"
 LOAD_HEADER = "egretlift-load"
+STATEMENT_HEADER = "egretlift-upstream"
 CAUSE_HEADER = "egretlift-cause"
 # Values of the cause header: a nested call, made by the upstream while it ran this
 # call, failed or was refused because of overload.
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -177,6 +177,7 @@
 async def send_to_upstream(board, call, remaining_s):
     """Send a call to the upstream and return its answer."""
     upstream_id = board.upstream.current.upstream_id
+    rate_limit = board.slots.rate_limit
     headers = board.dialect.make_upstream_headers(call, upstream_id, remaining_s)
     data = encode_request(call.method, call.target, headers, call.body)
 
@@ -210,7 +211,8 @@
         return answer_unknown("upstream-broke", 502)
     if received is None:
         return answer_unknown("deadline", 504)
-    record_upstream_limit(board, received.fields, sent_at)
+    if board.slots.rate_limit is rate_limit:
+        record_upstream_limit(board, received.fields, sent_at)
     return classify_response(board, received)
 
 
@@ -229,12 +231,34 @@
     slots = board.slots
     before = slots.rate_limit.rate_per_s
     stated = board.dialect.read_rate_limit(fields)
-    if not admission.record_rate_limit(slots, stated, sent_at, read_clock()):
+    if admission.record_rate_limit(slots, stated, sent_at, read_clock()):
+        handle_changed_limit(board, before, "upstream")
+
+
+def adopt_known_limit(board, statement):
+    """Adopt the rate limit that another daemon knows of this host's upstream.
+
+    ``statement`` is a `Statement`, or None if the daemon knows none.
+    """
+    slots = board.slots
+    if statement is None or statement.upstream != slots.rate_limit.upstream:
         return
+    known = statement.rate_per_s
+    if known is not None and admission.adopt_rate_limit(slots, known, read_clock()):
+        handle_changed_limit(board, None, "daemon")
+
+
+def handle_changed_limit(board, before, source):
+    """Log a change of the rate limit, and set the timer of the next start anew.
+
+    ``before`` is the earlier limit; ``source`` tells who stated the new one.
+    """
+    slots = board.slots
     board.log_change(
         "upstream-limit",
         rate_per_s=slots.rate_limit.rate_per_s,
         before=before,
+        source=source,
         requests=board.count_upstream_requests(),
         running=slots.running,
         queued=len(slots.waiting),
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -9,12 +9,20 @@
     readmit,
     set_load,
 )
+from egretlift.membership.statements import (
+    decode_statement,
+    encode_statement,
+    end_limit,
+    name_incarnation,
+    remember_statement,
+)
 from egretlift.outcome import (
     AGE_HEADER,
     CONTEXT_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
+    STATEMENT_HEADER,
     Outcome,
 )
 from egretlift.routing.nearest import (
@@ -238,6 +246,9 @@
         (CONTEXT_HEADER, encode_context(call, now)),
         (AGE_HEADER, encode_age(call, now)),
     ]
+    known = find_statement(board, entry)
+    if known is not None:
+        headers.append((STATEMENT_HEADER, encode_statement(known)))
     data = encode_request(call.method, call.target, headers, call.body)
     if not peer.outstanding:
         peer.waiting_since = now
@@ -267,10 +278,31 @@
     else:
         peer.waiting_since = read_clock()
         answer = read_peer_answer(peer, received)
+        if answer.reached:
+            record_statement(board, entry, received.fields)
     record_peer_outcome(peer, answer)
     return answer
 
 
+def find_statement(board, entry):
+    """Return what the upstream of a host entry has stated, None if nothing."""
+    if not board.statements:
+        return None
+    return board.statements.get(name_incarnation(entry.upstream_id, entry.born))
+
+
+def record_statement(board, entry, fields):
+    """Remember what the upstream of a host entry states in an answer that it gave.
+
+    An answer without a statement ends a rate limit.
+    """
+    statement = decode_statement(fields.get(STATEMENT_HEADER))
+    if statement is not None:
+        remember_statement(board.statements, statement)
+    elif board.statements:
+        end_limit(board.statements, entry.upstream_id, entry.born)
+
+
 def read_peer_answer(peer, received):
     """Return the answer of another daemon and record the load that it reports.
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -14,6 +14,7 @@
 from egretlift.membership.directory import arrange_hosts, count_hosts
 from egretlift.membership.followers import FollowerRole
 from egretlift.membership.peers import HostEntry, merge_stored_entry
+from egretlift.membership.statements import Statement
 from egretlift.membership.upstream import UpstreamState, may_serve
 from egretlift.membership.zone import ZoneView, find_owner, has_quorum, is_current
 from egretlift.quotas.home import ZoneQuota
@@ -79,6 +80,9 @@
         Decaying share of calls that failed at this host's upstream.
     own_failure_share_at : float
         Clock reading of the last update of ``own_failure_share``, in seconds.
+    statements : dict of str to Statement
+        What upstreams stated in answers that this daemon has passed on; see
+        `egretlift.membership.statements`.
     start_timer : TimerHandle or None
         Starts the next waiting call when the rate limit of the upstream allows it.
     running_calls : RunningCalls
@@ -147,6 +151,7 @@
         "settings_path",
         "slots",
         "start_timer",
+        "statements",
         "stopping",
         "store",
         "store_lost_at",
@@ -174,6 +179,7 @@
         self.upstream = UpstreamState()
         self.slots = Slots()
         self.start_timer = None
+        self.statements = {}
         self.running_calls = RunningCalls()
         self.route_admissions = {}
         self.caller_timeouts = CallerTimeouts()
@@ -257,6 +263,13 @@
         self.entry_changed.set()
         self.report_due.set()
 
+    def state_upstream(self):
+        """Return what this host's upstream states, None if it is nothing unusual."""
+        rate_limit = self.slots.rate_limit
+        if rate_limit.rate_per_s is None:
+            return None
+        return Statement(rate_limit.upstream, rate_limit.rate_per_s)
+
     def make_entry(self):
         """Return the entry that describes this host, its daemon and its upstream."""
         settings, state = self.settings, self.upstream
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -3,8 +3,10 @@
 import anyio
 
 from egretlift.admission.slots import refuse_waiting, set_slot_count
+from egretlift.admission.upstream_limit import UpstreamLimit
 from egretlift.clock import read_clock
 from egretlift.errors import AnnouncementInvalid
+from egretlift.membership.statements import name_incarnation
 from egretlift.membership.upstream import accept_announcement, record_departure
 from egretlift.platform.heartbeats import decode_heartbeat
 from egretlift.platform.names import READINESS_PATH, UPSTREAMS_PATH
@@ -64,6 +66,9 @@
         await disable_upstream(board, "draining")
         return
     set_slot_count(board.slots, announcement.slots)
+    upstream = name_incarnation(announcement.upstream_id, announcement.born)
+    if board.slots.rate_limit.upstream != upstream:
+        board.slots.rate_limit = UpstreamLimit(upstream)
     board.mark_entry_changed()
 
 
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -3,16 +3,18 @@
 from egretlift.clock import read_clock
 from egretlift.load import encode_load
 from egretlift.membership.peers import encode_entry
+from egretlift.membership.statements import decode_statement, encode_statement
 from egretlift.outcome import (
     AGE_HEADER,
     CONTEXT_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
+    STATEMENT_HEADER,
 )
 from egretlift.serving.call import Call, decode_age, decode_context
 from egretlift.serving.checks import CheckFailed
-from egretlift.serving.execution import execute_locally
+from egretlift.serving.execution import adopt_known_limit, execute_locally
 from egretlift.serving.offers import REACHED_HEADER
 from egretlift.serving.refusals import answer_refusal, refuse
 from egretlift.sidecar.bodies import check_body
@@ -39,12 +41,15 @@
             answer = await execute_for_peer(board, request)
         except CheckFailed as error:
             answer = answer_refusal(error.refusal)
-        extra = (
+        extra = [
             (OUTCOME_HEADER, answer.outcome.value),
             (REASON_HEADER, answer.reason),
             (REACHED_HEADER, str(int(answer.reached))),
             (LOAD_HEADER, encode_load(board.measure_load())),
-        )
+        ]
+        statement = board.state_upstream()
+        if statement is not None:
+            extra.append((STATEMENT_HEADER, encode_statement(statement)))
         request_id = board.dialect.read_request_id(request.fields)
         return make_response(board, answer, request_id, None, extra)
     finally:
@@ -60,6 +65,7 @@
     if context is None or context["service"] != board.settings.service:
         return refuse("absent")
     check_body(request, board.configuration)
+    adopt_known_limit(board, decode_statement(request.fields.get(STATEMENT_HEADER)))
     call = Call(
         request_id=board.dialect.read_request_id(request.fields),
         method=request.method,
--- a/integration/test_upstream_limit.py
+++ b/integration/test_upstream_limit.py
@@ -1,6 +1,7 @@
 """Rate limits that upstreams state in their answers, with real sidecar daemons."""
 
 import asyncio
+import signal
 import time
 import unittest
 
@@ -39,11 +40,14 @@
             status = None
         self.statuses.append(status)
 
-    async def run(self, rate_per_s, seconds, path="/view/1"):
-        """Send requests at a rate, in requests a second, and wait for all answers."""
+    async def run(self, rate_per_s, seconds, path="/view/1", only=None):
+        """Send requests at a rate, in requests a second, and wait for all answers.
+
+        All are sent to the daemon with the index ``only`` if one is given.
+        """
         began, sent = time.monotonic(), []
         for number in range(int(rate_per_s * seconds)):
-            index = number % len(self.mesh.sidecars)
+            index = number % len(self.mesh.sidecars) if only is None else only
             sent.append(asyncio.create_task(self.send(index, path, f"{number}")))
             due = began + (number + 1) / rate_per_s
             await asyncio.sleep(max(0.0, due - time.monotonic()))
@@ -96,6 +100,42 @@
                 self.assertLessEqual(got, compute_allowed(limit))
                 self.assertGreater(got, 0.5 * limit * WINDOW_S)
 
+    def test_limit_outlives_a_restart_of_the_daemon(self):
+        """Guards against a restarted daemon that knows no limit until an answer comes.
+
+        Only requests of the other daemon count, which has passed on the limit.
+        """
+
+        async def run():
+            async with SidecarMesh(2, slots=64) as mesh:
+                first, second = (sidecar.upstream for sidecar in mesh.sidecars)
+                first.rate_limit = second.rate_limit = limit = 2.0
+                first.behaviour = "slow"
+                began = time.monotonic()
+                load = asyncio.create_task(Load(mesh).run(80, 12.0, only=1))
+                for at in (4.0, 8.0):
+                    await asyncio.sleep(began + at - time.monotonic())
+                    await self.restart(mesh, mesh.sidecars[0])
+                await load
+                times = [
+                    at
+                    for at, headers in first.requests
+                    if headers["X-Request-Id"].startswith("1-")
+                ]
+                got = count_largest_window(sorted(times), began + SETTLE_S, WINDOW_S)
+                self.assertLessEqual(got, compute_allowed(limit))
+                # The restarted daemon serves again.
+                self.assertTrue([at for at in times if at > began + 9.0])
+
+        asyncio.run(run())
+
+    async def restart(self, mesh, sidecar):
+        """Kill a daemon and start it again at once."""
+        sidecar.signal(signal.SIGKILL)
+        await sidecar.process.wait()
+        sidecar.settings["bootstrap"] = False
+        sidecar.process = await sidecar.start(mesh.folder.name, mesh.root)
+
 
 if __name__ == "__main__":
     unittest.main()
