Send nothing to an upstream whose answers say that it leaves

Change: an answer that states it has the effect of a heartbeat that says "draining": the upstream gets nothing more until it starts again. The daemon adds it to its answers for other daemons, which remember it by start of the upstream and send no call to it, whatever a restarted daemon and a late heartbeat say. A departure that is known already is still acknowledged only after the wait for the store.

--- a/egretlift/membership/tests/test_upstream.py
+++ b/egretlift/membership/tests/test_upstream.py
@@ -9,6 +9,7 @@
     accept_announcement,
     may_serve,
     record_departure,
+    record_leaving,
     refusal_reason,
     restore_upstream,
 )
@@ -41,6 +42,27 @@
     )
 
 
+class TestLeaving(unittest.TestCase):
+    """Whether an upstream gets work after it has stated in an answer that it leaves."""
+
+    def test_leaving(self):
+        """Guards against heartbeats that revive an upstream which leaves."""
+        for name, stated, later, changed, serves in (
+            ("leaves", ("i-1", 100), [], True, False),
+            ("late heartbeat", ("i-1", 100), [make_heartbeat(sequence=2)], True, False),
+            ("restarted", ("i-1", 100), [make_heartbeat(born=101)], True, True),
+            ("earlier start", ("i-1", 99), [], False, True),
+            ("another upstream", ("i-0", 100), [], False, True),
+        ):
+            with self.subTest(name):
+                state = UpstreamState()
+                accept_announcement(state, make_heartbeat(), "checkout", 0.0)
+                self.assertEqual(record_leaving(state, *stated), changed)
+                for heartbeat in later:
+                    accept_announcement(state, heartbeat, "checkout", 1.0)
+                self.assertEqual(may_serve(state), serves)
+
+
 class TestHeartbeats(unittest.TestCase):
     """Whether the upstream may get work after a series of heartbeats."""
 
--- a/egretlift/membership/upstream.py
+++ b/egretlift/membership/upstream.py
@@ -140,6 +140,21 @@
     return (announcement.born, announcement.sequence)
 
 
+def record_leaving(state, upstream_id, born):
+    """Record that an upstream has stated in an answer that it leaves.
+
+    It gets work again only after its restart, as after a heartbeat that states it.
+    Returns whether this changes the state of the current upstream.
+    """
+    current = state.current
+    if current is None or (current.upstream_id, current.born) != (upstream_id, born):
+        return False
+    if state.status != READY:
+        return False
+    state.status = DRAINING
+    return True
+
+
 def record_departure(state, upstream_id, now):
     """Record that an upstream has left; return whether it was the current one."""
     current = state.current
--- a/egretlift/platform/names.py
+++ b/egretlift/platform/names.py
@@ -15,6 +15,8 @@
 RETRY_AFTER = "Retry-After"
 # Requests a second that an upstream short of capacity takes from all hosts together.
 RATE_LIMIT = "Server-Limit"
+# "1" in all answers of an upstream that is about to end.
+LEAVING = "Server-Leaving"
 
 READINESS_PATH = "/-/readiness"
 UPSTREAMS_PATH = "/-/instances/"
--- a/egretlift/platform/requests.py
+++ b/egretlift/platform/requests.py
@@ -29,6 +29,7 @@
 SEAL_FIELD = names.SEAL.lower()
 NOT_RUN_FIELD = names.NOT_RUN.lower()
 RATE_LIMIT_FIELD = names.RATE_LIMIT.lower()
+LEAVING_FIELD = names.LEAVING.lower()
 CONNECTION_HEADERS = HOP_BY_HOP - {"host"} | {"content-length", "proxy-connection"}
 MAXIMUM_DEADLINE_MS = 3_600_000
 
@@ -122,6 +123,11 @@
     return rate_per_s if 0 <= rate_per_s < math.inf else None
 
 
+def states_leaving(fields):
+    """Return whether an upstream's answer states that the upstream is about to end."""
+    return fields.get(LEAVING_FIELD) == "1"
+
+
 def matches_request(fields, request_id):
     """Return whether an upstream's answer belongs to a request.
 
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -5,7 +5,7 @@
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
 from egretlift.clock import read_clock
-from egretlift.membership.upstream import may_serve, refusal_reason
+from egretlift.membership.upstream import may_serve, record_leaving, refusal_reason
 from egretlift.outcome import Outcome
 from egretlift.retries.arrivals import (
     admit_repeat,
@@ -176,8 +176,8 @@
 
 async def send_to_upstream(board, call, remaining_s):
     """Send a call to the upstream and return its answer."""
-    upstream_id = board.upstream.current.upstream_id
-    rate_limit = board.slots.rate_limit
+    current, rate_limit = board.upstream.current, board.slots.rate_limit
+    upstream_id = current.upstream_id
     headers = board.dialect.make_upstream_headers(call, upstream_id, remaining_s)
     data = encode_request(call.method, call.target, headers, call.body)
 
@@ -213,9 +213,20 @@
         return answer_unknown("deadline", 504)
     if board.slots.rate_limit is rate_limit:
         record_upstream_limit(board, received.fields, sent_at)
+    if board.dialect.states_leaving(received.fields):
+        handle_leaving_upstream(board, current)
     return classify_response(board, received)
 
 
+def handle_leaving_upstream(board, announcement):
+    """Send no further calls to the upstream of a heartbeat, which says it leaves."""
+    upstream_id = announcement.upstream_id
+    if record_leaving(board.upstream, upstream_id, announcement.born):
+        board.log_change("upstream-leaving", upstream=upstream_id)
+        admission.refuse_waiting(board.slots, board.upstream.status)
+        board.mark_entry_changed()
+
+
 def describe_kind(call):
     """Return the kind of a request to the upstream, a label of its counter."""
     if call.repeated or call.of_repeat:
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -13,6 +13,7 @@
     decode_statement,
     encode_statement,
     end_limit,
+    is_leaving,
     name_incarnation,
     remember_statement,
 )
@@ -169,8 +170,12 @@
     hosts = board.ensure_directory().services.get(call.service)
 
     def may_try(peer):
-        name = peer.entry.host
-        return name not in tried and may_call(peer, settings.zone, now, interval_s)
+        entry = peer.entry
+        return (
+            entry.host not in tried
+            and may_call(peer, settings.zone, now, interval_s)
+            and not is_leaving(board.statements, entry.upstream_id, entry.born)
+        )
 
     candidates = []
     if settings.host not in tried and board.may_execute(call.service):
@@ -278,8 +283,7 @@
     else:
         peer.waiting_since = read_clock()
         answer = read_peer_answer(peer, received)
-        if answer.reached:
-            record_statement(board, entry, received.fields)
+        record_statement(board, entry, received.fields, answer.reached)
     record_peer_outcome(peer, answer)
     return answer
 
@@ -291,15 +295,16 @@
     return board.statements.get(name_incarnation(entry.upstream_id, entry.born))
 
 
-def record_statement(board, entry, fields):
-    """Remember what the upstream of a host entry states in an answer that it gave.
+def record_statement(board, entry, fields, reached):
+    """Remember what the upstream of a host entry states, as its daemon says.
 
-    An answer without a statement ends a rate limit.
+    An answer of the upstream, which the call has then ``reached``, ends a rate limit if
+    it comes without a statement.
     """
     statement = decode_statement(fields.get(STATEMENT_HEADER))
     if statement is not None:
         remember_statement(board.statements, statement)
-    elif board.statements:
+    elif reached and board.statements:
         end_limit(board.statements, entry.upstream_id, entry.born)
 
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -14,8 +14,13 @@
 from egretlift.membership.directory import arrange_hosts, count_hosts
 from egretlift.membership.followers import FollowerRole
 from egretlift.membership.peers import HostEntry, merge_stored_entry
-from egretlift.membership.statements import Statement
-from egretlift.membership.upstream import UpstreamState, may_serve
+from egretlift.membership.statements import Statement, name_incarnation
+from egretlift.membership.upstream import (
+    DRAINING,
+    GONE,
+    UpstreamState,
+    may_serve,
+)
 from egretlift.membership.zone import ZoneView, find_owner, has_quorum, is_current
 from egretlift.quotas.home import ZoneQuota
 from egretlift.quotas.purse import LocalTokens
@@ -265,10 +270,12 @@
 
     def state_upstream(self):
         """Return what this host's upstream states, None if it is nothing unusual."""
-        rate_limit = self.slots.rate_limit
-        if rate_limit.rate_per_s is None:
+        current, rate_per_s = self.upstream.current, self.slots.rate_limit.rate_per_s
+        has_left = self.upstream.status in (DRAINING, GONE)
+        if current is None or (rate_per_s is None and not has_left):
             return None
-        return Statement(rate_limit.upstream, rate_limit.rate_per_s)
+        upstream = name_incarnation(current.upstream_id, current.born)
+        return Statement(upstream, rate_per_s, has_left)
 
     def make_entry(self):
         """Return the entry that describes this host, its daemon and its upstream."""
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -7,7 +7,12 @@
 from egretlift.clock import read_clock
 from egretlift.errors import AnnouncementInvalid
 from egretlift.membership.statements import name_incarnation
-from egretlift.membership.upstream import accept_announcement, record_departure
+from egretlift.membership.upstream import (
+    DRAINING,
+    GONE,
+    accept_announcement,
+    record_departure,
+)
 from egretlift.platform.heartbeats import decode_heartbeat
 from egretlift.platform.names import READINESS_PATH, UPSTREAMS_PATH
 from egretlift.transport.http_messages import Response, make_json_response
@@ -34,7 +39,7 @@
         left = record_departure(board.upstream, upstream_id, read_clock())
         board.log_change("upstream-left", upstream=upstream_id, current=left)
         if left:
-            await disable_upstream(board, "gone")
+            await disable_upstream(board, GONE)
         return make_json_response({})
     if request.method != "PUT":
         return Response(405)
@@ -54,6 +59,9 @@
     now = read_clock()
     changed = accept_announcement(state, announcement, board.settings.service, now)
     if not changed and state.silent == was_silent:
+        if state.status == DRAINING:
+            # The departure may be known from an answer and not be stored yet.
+            await wait_until_stored(board)
         return
     board.log_change(
         "upstream-changed",
@@ -62,8 +70,8 @@
         born=announcement.born,
         beat=announcement.sequence,
     )
-    if state.status == "draining":
-        await disable_upstream(board, "draining")
+    if state.status == DRAINING:
+        await disable_upstream(board, DRAINING)
         return
     set_slot_count(board.slots, announcement.slots)
     upstream = name_incarnation(announcement.upstream_id, announcement.born)
@@ -73,12 +81,17 @@
 
 
 async def disable_upstream(board, reason):
-    """Send no further calls to the upstream, and publish that.
-
-    Waits a limited time until the store has it, so that a restarted daemon knows it.
-    """
+    """Send no further calls to the upstream, publish that, and wait for the store."""
     refuse_waiting(board.slots, reason)
     board.mark_entry_changed()
+    await wait_until_stored(board)
+
+
+async def wait_until_stored(board):
+    """Wait until the store has this host's entry, so that a restarted daemon knows it.
+
+    Returns after `STORE_WAIT_S` at the latest.
+    """
     expected = board.counter
     with anyio.move_on_after(STORE_WAIT_S):
         while board.counter_stored < expected:
--- a/integration/test_upstream_limit.py
+++ b/integration/test_upstream_limit.py
@@ -1,4 +1,4 @@
-"""Rate limits that upstreams state in their answers, with real sidecar daemons."""
+"""Limits and departures that upstreams state in answers, with real sidecar daemons."""
 
 import asyncio
 import signal
@@ -13,6 +13,9 @@
 SETTLE_S = 3.0
 OVERAGE = 1.5
 SLACK = 5
+# Time after which an upstream that leaves may get no further requests from a daemon
+# that has passed on such an answer.
+DRAIN_S = 2.0
 
 
 class Load:
@@ -71,6 +74,14 @@
     return largest
 
 
+async def restart(mesh, sidecar):
+    """Kill a daemon and start it again at once."""
+    sidecar.signal(signal.SIGKILL)
+    await sidecar.process.wait()
+    sidecar.settings["bootstrap"] = False
+    sidecar.process = await sidecar.start(mesh.folder.name, mesh.root)
+
+
 def compute_allowed(rate_per_s):
     """Return how many requests an upstream may get in ``WINDOW_S``."""
     return OVERAGE * rate_per_s * WINDOW_S + SLACK
@@ -115,7 +126,7 @@
                 load = asyncio.create_task(Load(mesh).run(80, 12.0, only=1))
                 for at in (4.0, 8.0):
                     await asyncio.sleep(began + at - time.monotonic())
-                    await self.restart(mesh, mesh.sidecars[0])
+                    await restart(mesh, mesh.sidecars[0])
                 await load
                 times = [
                     at
@@ -129,12 +140,45 @@
 
         asyncio.run(run())
 
-    async def restart(self, mesh, sidecar):
-        """Kill a daemon and start it again at once."""
-        sidecar.signal(signal.SIGKILL)
-        await sidecar.process.wait()
-        sidecar.settings["bootstrap"] = False
-        sidecar.process = await sidecar.start(mesh.folder.name, mesh.root)
+
+class TestLeaving(unittest.TestCase):
+    """What an upstream gets after it has stated in answers that it leaves.
+
+    Its heartbeats go on stating that it is ready, as late ones do, and the store takes
+    no writes.
+    """
+
+    def test_upstream_that_leaves_gets_no_more(self):
+        """Guards against requests to an upstream that only its answers say leaves."""
+        for name, killed in (("daemons go on", False), ("its daemon restarts", True)):
+            with self.subTest(name):
+                asyncio.run(self.check_departure(killed))
+
+    async def check_departure(self, killed):
+        """Run a load while the first upstream leaves, and check what it gets.
+
+        If its daemon is ``killed``, only requests of the other daemon count.
+        """
+        async with SidecarMesh(2) as mesh:
+            first, second = (sidecar.upstream for sidecar in mesh.sidecars)
+            second.behaviour = "slow"
+            mesh.store.fault = "unwritable"
+            load = asyncio.create_task(Load(mesh).run(60, 9.0))
+            await asyncio.sleep(1.0)
+            first.is_leaving = True
+            told = time.monotonic()
+            await asyncio.sleep(1.0)
+            if killed:
+                await restart(mesh, mesh.sidecars[0])
+            await load
+            counted = "1-" if killed else ("0-", "1-")
+            late = [
+                headers["X-Request-Id"]
+                for at, headers in first.requests
+                if at > told + DRAIN_S + 0.5
+                and headers["X-Request-Id"].startswith(counted)
+            ]
+            self.assertEqual(late, [])
 
 
 if __name__ == "__main__":
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -25,7 +25,8 @@
     oldest : int
         First revision that the history covers; a watch from before it gets 410.
     fault : str
-        ``""`` for none; ``down``: every call gets 503; ``silent``: calls wait for 60 s
+        ``""`` for none; ``down``: every call gets 503; ``unwritable``: every write gets
+        503; ``silent``: calls wait for 60 s
         before they are answered; ``lost``: writes take effect, but their connection is
         closed without an answer.
     calls : int
@@ -78,6 +79,8 @@
             if "watch" in request.query:
                 return await self.watch(kind, request)
             return self.list(kind, request.query.get("after", ""))
+        if self.fault == "unwritable":
+            return web.json_response({"error": "unwritable"}, status=503)
         answer = self.write(request.method, kind, name, await request.read(), request)
         if self.fault == "lost":
             request.transport.abort()
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -76,6 +76,8 @@
         paths under ``/inner/``, and fails if that call fails.
     rate_limit : float or None
         Requests a second that its answers state as its limit, None for no limit.
+    is_leaving : bool
+        Whether its answers state that it leaves.
     beats : int
         Sequence number of the last heartbeat.
     born : int
@@ -92,6 +94,7 @@
         self.call_after_s = 0.9
         self.behaviour = "serve"
         self.rate_limit = None
+        self.is_leaving = False
         self.beats = 0
         self.state = "ready"
         self.born = int(1000 * time.time())
@@ -104,6 +107,8 @@
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
         if self.rate_limit is not None:
             headers["Server-Limit"] = str(self.rate_limit)
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         if request.headers.get("X-Expect-Instance") != self.upstream_id:
             return web.Response(status=421, headers=headers)
         if self.behaviour == "full":
