Answer every request before a stopping daemon ends

What callers saw: in a planned stop, requests taken late in the grace time, and nested calls, were passed on and then cut off without an answer at its end, also those that may not be repeated.

Cause: nothing bound the work that was taken during a stop to the time that was left. Deadlines reached beyond the end of the process, calls went on waiting for slots, and the end of the daemon closed the connections of what was open.

Evidence: test_every_request_is_answered_before_the_end; before, requests of four of five rows ended with a closed connection (taken before the stop, late, more than may run, nested calls).

Change: what is taken during a stop, from callers, upstreams and other daemons, has the end of the stop as its latest deadline, which the upstream is told; calls that wait for a slot when the daemon starts to refuse go to other hosts; what is still open at the end is answered: "not run" if no upstream can have got it, else unknown (502).

Measured: the test passes, the daemon ends within its grace time.

--- a/egretlift/serving/call.py
+++ b/egretlift/serving/call.py
@@ -46,6 +46,8 @@
         Whether the call is nested: an upstream makes it while it runs a request.
     returned : bool
         Whether the caller seems to retry after a refusal.
+    is_sent : bool
+        Whether an upstream may have received the call.
     served_by : str
         Host to which the call was sent last; empty if there was none.
     """
@@ -58,6 +60,7 @@
         "headers",
         "idempotent",
         "is_inner",
+        "is_sent",
         "method",
         "of_repeat",
         "organisation",
@@ -80,6 +83,7 @@
         self.of_repeat = False
         self.is_inner = False
         self.returned = False
+        self.is_sent = False
         self.parent_id = ""
         self.served_by = ""
         for name, value in values.items():
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -187,6 +187,7 @@
     sent_at = read_clock()
 
     def record_arrival():
+        call.is_sent = True
         board.count("upstream_requests", describe_kind(call))
         if call.of_repeat and not call.repeated:
             record_repeated_arrival(board.arrivals, read_clock())
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -88,6 +88,7 @@
         reached_count += answer.reached
         log_attempt(board, call, chosen, answer)
         best = choose_answer(best, answer)
+        call.is_sent = best.outcome is not Outcome.REFUSED_NOT_RUN
         if not may_try_another_host(call, answer, reached_count):
             break
     return best or refuse("no-upstream")
@@ -259,6 +260,7 @@
         peer.waiting_since = now
     peer.outstanding += 1
     peer.sent += 1
+    call.is_sent = True
     try:
         received = await exchange(
             board.peer_pool,
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -67,6 +67,13 @@
     return answer
 
 
+def answer_cut_off(call):
+    """Return the answer to a call that does not end before the daemon does."""
+    if call.is_sent:
+        return answer_unknown("stopping", 502)
+    return refuse("stopping")
+
+
 def indicates_overload(answer):
     """Return whether an answer shows overload of its service or of one it calls.
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -1,5 +1,6 @@
 """State of a sidecar daemon, shared by its controllers and request handlers."""
 
+import math
 import random
 import secrets
 
@@ -96,9 +97,12 @@
         Adaptive admission state of the routes that the upstream serves.
     open_requests : int
         Requests that were read and are not answered yet.
-    stopping, leaving, refusing : bool
+    stopping, leaving, refusing, ending : bool
         Stages of a graceful stop: the daemon was asked to stop; other daemons must
-        send it no further calls; it refuses new requests.
+        send it no further calls; it refuses new requests; it answers the open ones.
+    end_at : float
+        Clock reading, in seconds, by which all requests must be answered; infinite
+        before a stop.
     log_counts : dict of str to list
         For each kind of event, [second, number of lines in that second].
     entry_changed, report_due, fetch_due : Event
@@ -127,6 +131,8 @@
         "dialect",
         "directory",
         "follower_role",
+        "end_at",
+        "ending",
         "entry_changed",
         "entry_missing",
         "entry_stored",
@@ -206,6 +212,8 @@
         self.stopping = False
         self.leaving = False
         self.refusing = False
+        self.ending = False
+        self.end_at = math.inf
         self.counters = {}
         self.histograms = {}
         self.log_counts = {}
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -1,5 +1,7 @@
 """The port for callers on this host: its clients and its own upstream."""
 
+import asyncio
+
 from egretlift.admission.pace import estimate_elapsed_s
 from egretlift.clock import read_clock
 from egretlift.outcome import Outcome
@@ -8,6 +10,7 @@
 from egretlift.serving.offers import serve_call
 from egretlift.serving.parents import find_parent
 from egretlift.serving.refusals import (
+    answer_cut_off,
     answer_refusal,
     choose_retry_after_s,
     indicates_overload,
@@ -43,7 +46,7 @@
     call = None
     try:
         call, parent = build_call(board, request, started)
-        answer = await serve_rate_limited(board, call)
+        answer = await answer_before_end(board, call, serve_rate_limited(board, call))
         if parent is not None and answer.outcome is not Outcome.WHOLE:
             parent.nested_failed = True
             parent.nested_overloaded |= indicates_overload(answer)
@@ -114,7 +117,9 @@
         body=request.body,
         received_at=started,
         origin_at=started,
-        deadline=checks.compute_deadline(started, route, caller_timeout_s),
+        deadline=min(
+            checks.compute_deadline(started, route, caller_timeout_s), board.end_at
+        ),
         route=route.name,
         service=choose_service(route, board.random),
         organisation=organisation.name if organisation else None,
@@ -140,6 +145,19 @@
     return call, parent
 
 
+async def answer_before_end(board, call, serving):
+    """Return the answer of ``serving``, or one of the daemon's own when it ends.
+
+    The task is cancelled when the caller has left, or at the end of a graceful stop.
+    """
+    try:
+        return await serving
+    except asyncio.CancelledError:
+        if not board.ending:
+            raise
+        return answer_cut_off(call)
+
+
 async def serve_rate_limited(board, call):
     """Take a token of the organisation's rate, run the call, and return its answer.
 
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from egretlift.admission.slots import refuse_waiting
 from egretlift.clock import read_clock
 from egretlift.daemon.tasks import keep_running
 from egretlift.errors import PlatformUnavailable
@@ -32,7 +33,11 @@
     keep_entry,
 )
 from egretlift.transport.exchange import close_idle, close_pool
-from egretlift.transport.http_server import check_connections, listen
+from egretlift.transport.http_server import (
+    cancel_pending,
+    check_connections,
+    listen,
+)
 
 STDOUT = 1
 # The platform needs up to this long to notice that the daemon is not ready.
@@ -43,6 +48,9 @@
 PEER_CALLS_S = 1.6
 # Part of the grace time that is kept for closing connections.
 CLOSE_RESERVE_S = 0.6
+# Before that, the requests that are still open get an answer of the daemon within this
+# time. An upstream answers at the deadline that it was given, which ends before.
+CUT_OFF_S = 0.15
 MAINTENANCE_INTERVAL_S = 1.0
 
 CONTROLLERS = (
@@ -137,32 +145,43 @@
             reload_settings(board)
 
 
-async def drain(board):
+async def drain(board, servers):
     """Stop gracefully: accept requests for a while, then finish the open ones.
 
     The daemon reports at once that it is not ready. It serves callers until the
     platform has noticed that, and calls of other daemons for a shorter time. Later
     requests could not end before the process is killed and are refused: when a zone
-    has few daemons left, the platform may still send callers here.
+    has few daemons left, the platform may still send callers here. Requests that are
+    taken during the stop must end within it, those that wait for a slot by then go
+    elsewhere, and what is open in the end is told whether it may have run.
     """
     settings = board.settings
     started = read_clock()
     board.stopping = True
+    stopped_at = started + settings.bounds.grace_s - CLOSE_RESERVE_S
+    board.end_at = stopped_at - CUT_OFF_S
     record_event("stopping", open_requests=board.open_requests)
     await anyio.sleep(PEER_CALLS_S)
     board.leaving = True
     board.mark_entry_changed()
     await anyio.sleep(READINESS_LAG_S - PEER_CALLS_S)
     board.refusing = True
-    with anyio.move_on_after(
-        settings.bounds.grace_s - CLOSE_RESERVE_S - READINESS_LAG_S
-    ):
-        while board.open_requests:
-            await anyio.sleep(0.02)
+    refuse_waiting(board.slots, "stopping")
+    await wait_until_answered(board, stopped_at - CUT_OFF_S / 2)
+    board.ending = True
+    for server in servers:
+        cancel_pending(server)
+    await wait_until_answered(board, stopped_at)
     seconds = round(read_clock() - started, 3)
     record_event("stopped", open_requests=board.open_requests, seconds=seconds)
 
 
+async def wait_until_answered(board, latest):
+    """Wait until no request is open, or until the clock reads ``latest``."""
+    while board.open_requests and read_clock() < latest:
+        await anyio.sleep(0.02)
+
+
 async def remove_entry(board):
     """Remove this host's entry if its upstream has left for good."""
     if board.upstream.status == "gone" and board.own_revision is not None:
@@ -202,7 +221,7 @@
             gc.collect()
             gc.freeze()
             await wait_for_stop(board)
-            await drain(board)
+            await drain(board, [server for server, _ in ports])
             await remove_entry(board)
             for _, listener in ports:
                 listener.close()
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -18,6 +18,7 @@
 from egretlift.serving.offers import REACHED_HEADER
 from egretlift.serving.refusals import answer_refusal, refuse
 from egretlift.sidecar.bodies import check_body
+from egretlift.sidecar.callers import answer_before_end
 from egretlift.sidecar.delivery import make_response
 from egretlift.sidecar.fetching import CONFIGURATION_PATH, HOSTS_PATH
 from egretlift.sidecar.tokens import LOANS_PATH, TOKENS_PATH, answer_loan, answer_tokens
@@ -76,7 +77,8 @@
         origin_at=decode_age(request.fields.get(AGE_HEADER), now),
         **context,
     )
-    return await execute_locally(board, call)
+    call.deadline = min(call.deadline, board.end_at)
+    return await answer_before_end(board, call, execute_locally(board, call))
 
 
 def answer_configuration(board):
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -357,6 +357,14 @@
     return Response(answer.status, headers, answer.body, close=True)
 
 
+def cancel_pending(server):
+    """Cancel the handlers of a port that are still running."""
+    for connection in list(server.connections):
+        for item in connection.pending:
+            if item.task is not None and item.response is None:
+                item.task.cancel()
+
+
 async def check_connections(server):
     """Close the connections of silent clients at intervals."""
     while True:
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -6,7 +6,9 @@
 import unittest
 from pathlib import Path
 
-from standins.sidecars import KEY, SidecarMesh, make_configuration, wait_for
+import aiohttp
+
+from standins.sidecars import KEY, ROUTES, SidecarMesh, make_configuration, wait_for
 
 
 def run_mesh(scenario, count=2):
@@ -355,6 +357,61 @@
 
         run_mesh(scenario)
 
+    def test_every_request_is_answered_before_the_end(self):
+        """Guards against requests that a stop cuts off without an answer (LOST)."""
+        for name, behaviour, moments, asked in (
+            ("taken before the stop", "slow", (-0.3,), 0),
+            ("taken late", "slow", (1.0, 2.4), 0),
+            ("more than may run", "slow", (-0.5, -0.4, 0.5), 0),
+            ("nested calls", "call", (0.5, 2.0), 0),
+            ("calls of another host", "slow", (-0.3, 1.2), 1),
+        ):
+            with self.subTest(name):
+                run_mesh(
+                    lambda mesh, a=(behaviour, moments, asked): self.stop(mesh, *a)
+                )
+
+    async def stop(self, mesh, behaviour, moments, asked):
+        """Stop the first daemon while its upstream is slow, and check all answers.
+
+        Four requests that may not be repeated are sent to the daemon with the index
+        ``asked`` at each of the moments, in seconds after SIGTERM.
+        """
+        first, second = mesh.sidecars
+        routes = [[*row[:4], 20, *row[5:]] for row in ROUTES]
+        mesh.store.put("config", "main", make_configuration(4, routes=routes))
+        second.upstream.state = "draining"
+        first.upstream.slow_s, first.upstream.behaviour = 9.0, behaviour
+        first.upstream.call_after_s = 3.0
+        await mesh.beat(second)
+        await asyncio.sleep(1.0)
+        began, answers = time.monotonic() + 1.0, {}
+
+        async def ask(number, moment):
+            await asyncio.sleep(began + moment - time.monotonic())
+            request_id, sidecar = f"s{number}", mesh.sidecars[asked]
+            try:
+                status, _, _ = await mesh.ask(
+                    sidecar, "/book/1", request_id, X_Deadline_Ms="15000"
+                )
+            except (OSError, aiohttp.ClientError):
+                status = None
+            answers[request_id] = status
+
+        tasks = [
+            asyncio.create_task(ask(number, moments[number // 4]))
+            for number in range(4 * len(moments))
+        ]
+        await asyncio.sleep(began - time.monotonic())
+        first.signal(signal.SIGTERM)
+        await first.process.wait()
+        self.assertLess(time.monotonic() - began, first.settings["bounds"]["grace_s"])
+        await asyncio.gather(*tasks)
+        self.assertNotIn(None, answers.values())
+        for request_id, status in answers.items():
+            if mesh.ran(request_id):
+                self.assertNotIn(status, (429, 503))
+
     def test_kill_of_a_daemon(self):
         """Guards against calls that are still sent to a dead host."""
 
--- a/integration/test_upstream_limit.py
+++ b/integration/test_upstream_limit.py
@@ -5,6 +5,8 @@
 import time
 import unittest
 
+import aiohttp
+
 from standins.sidecars import SidecarMesh
 
 # An upstream may get this many times its stated rate in a window, and so many requests
@@ -39,7 +41,7 @@
             status, _, _ = await self.mesh.ask(
                 self.mesh.sidecars[index], path, f"{index}-{request_id}"
             )
-        except OSError:
+        except (OSError, aiohttp.ClientError):
             status = None
         self.statuses.append(status)
 
