Tell callers to return when a limited host can take them

Cause: the time to return after a refusal for a rate limit was 0.25 to 0.75 s whatever the limit, so a caller came back while the calls that waited then still did.

Change: the refusal carries the time until the host may start another call, and the caller is told to return not before the first of the hosts tried is free, with the usual spread, after 5 s at the latest.

--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -1,5 +1,6 @@
 """Sending a call to one host after the other until one of them runs it."""
 
+from egretlift.admission.slots import LIMITED
 from egretlift.clock import read_clock
 from egretlift.load import decode_load, encode_load
 from egretlift.membership.peers import (
@@ -83,6 +84,7 @@
         if host == board.settings.host:
             answer = await execute_locally(board, call)
             record_local_outcome(board, answer)
+            set_free_after(answer, board.measure_load())
         else:
             answer = await send_to_peer(board, call, board.peers[host])
         reached_count += answer.reached
@@ -131,13 +133,24 @@
     """
     if best is None or answer.outcome is Outcome.WHOLE:
         return answer
-    if answer.outcome is Outcome.REFUSED_NOT_RUN and (
-        best.outcome is not Outcome.REFUSED_NOT_RUN
-    ):
+    if answer.outcome is not Outcome.REFUSED_NOT_RUN:
+        return answer
+    if best.outcome is not Outcome.REFUSED_NOT_RUN:
         return best
+    known = [a.free_after_s for a in (best, answer) if a.free_after_s > 0.0]
+    answer.free_after_s = min(known, default=0.0)
     return answer
 
 
+def set_free_after(answer, load):
+    """Set when a host whose upstream limits its rate may start another call.
+
+    ``load`` is that of the host, None if it is not known.
+    """
+    if answer.reason == LIMITED and load is not None:
+        answer.free_after_s = load.start_delay_s
+
+
 def may_try_another_host(call, answer, reached_count):
     """Return whether a call may be sent to another host.
 
@@ -323,6 +336,7 @@
     outcome = read_outcome(fields.get(OUTCOME_HEADER))
     answer = Answer(outcome, received.status, headers, received.body)
     answer.reason = fields.get(REASON_HEADER, "")
+    set_free_after(answer, load)
     answer.reached = fields.get(REACHED_HEADER) != "0"
     if answer.reason in UNAVAILABLE_REASONS and not answer.reached:
         eject(peer, read_clock())
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -23,6 +23,7 @@
 RETRY_AFTER_S = 0.25
 RETRY_AFTER_SPREAD_S = 0.5
 RATE_RETRY_AFTER_S = 1.0
+RETRY_AFTER_MAXIMUM_S = 5.0
 PRESSURE_RETRY_AFTER_S = 0.7
 
 REMEDIES = {
@@ -82,9 +83,14 @@
     return answer.reason in OVERLOAD_REASONS or answer.status == 504
 
 
-def choose_retry_after_s(reason, random):
-    """Return the seconds after which a refused caller should retry, with a spread."""
+def choose_retry_after_s(answer, random):
+    """Return the seconds after which a refused caller should retry, with a spread.
+
+    Under a rate limit it is not before the calls that wait now have started, since the
+    call would only wait behind them or be refused again.
+    """
     base_s = {RATE: RATE_RETRY_AFTER_S, "pressure": PRESSURE_RETRY_AFTER_S}.get(
-        reason, RETRY_AFTER_S
+        answer.reason, RETRY_AFTER_S
     )
+    base_s = max(base_s, min(answer.free_after_s, RETRY_AFTER_MAXIMUM_S))
     return base_s + RETRY_AFTER_SPREAD_S * random.random()
--- a/egretlift/serving/tests/test_offers.py
+++ b/egretlift/serving/tests/test_offers.py
@@ -1,15 +1,22 @@
 """Tests of further attempts, of the final answer and of the context header."""
 
+import types
 import unittest
 
 from egretlift.clock import read_clock
+from egretlift.load import Load
 from egretlift.outcome import Outcome
 from egretlift.serving.call import Call, decode_context, encode_context
-from egretlift.serving.offers import choose_answer, may_try_another_host
+from egretlift.serving.offers import (
+    choose_answer,
+    may_try_another_host,
+    set_free_after,
+)
 from egretlift.serving.refusals import (
     NESTED_FAILURE,
     NESTED_OVERLOAD,
     answer_unknown,
+    choose_retry_after_s,
     indicates_overload,
     refuse,
 )
@@ -81,6 +88,28 @@
                     may_try_another_host(call, answer, reached_count), expected
                 )
 
+    def test_time_to_return(self):
+        """Guards against callers told to return before a limited host can take them."""
+        for name, reasons, earliest_s, latest_s in (
+            ("not limited", [("overload", 0.0)], 0.25, 0.75),
+            ("limited", [("upstream-limit", 1.2)], 1.2, 1.7),
+            ("free soon", [("upstream-limit", 0.1)], 0.25, 0.75),
+            ("one frees sooner", [("upstream-limit", t) for t in (2, 1, 3)], 1.0, 1.5),
+            ("one away", [("upstream-limit", 1.2), ("unconnected", 0.0)], 1.2, 1.7),
+            ("very low limit", [("upstream-limit", 60.0)], 5.0, 5.5),
+        ):
+            with self.subTest(name):
+                kept = None
+                for reason, free_after_s in reasons:
+                    answer = refuse(reason)
+                    set_free_after(answer, Load(1, 8, 0, 0.1, 1.0, free_after_s))
+                    kept = choose_answer(kept, answer)
+                for draw in (0.0, 1.0):
+                    random = types.SimpleNamespace(random=lambda draw=draw: draw)
+                    chosen_s = choose_retry_after_s(kept, random)
+                    self.assertGreaterEqual(chosen_s, earliest_s)
+                    self.assertLessEqual(chosen_s, latest_s)
+
     def test_what_the_caller_hears(self):
         """Guards against "not run" for a call of which one attempt may have run."""
         refused, lost, failed = (
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -33,7 +33,7 @@
         answer = await answer_request(board, request)
         retry_after_s = None
         if answer.outcome is Outcome.REFUSED_NOT_RUN and answer.status in (429, 503):
-            retry_after_s = choose_retry_after_s(answer.reason, board.random)
+            retry_after_s = choose_retry_after_s(answer, board.random)
         request_id = board.dialect.read_request_id(request.fields)
         return make_response(board, answer, request_id, retry_after_s)
     finally:
--- a/egretlift/transport/messages.py
+++ b/egretlift/transport/messages.py
@@ -172,10 +172,14 @@
         Called once, with whether the body was complete.
     reached : bool
         Whether the request was sent to an upstream.
+    free_after_s : float
+        Seconds until the host that refused the call because of its upstream's rate
+        limit may start another one; 0 for other answers.
     """
 
     __slots__ = (
         "body",
+        "free_after_s",
         "nested_failure",
         "on_finish",
         "headers",
@@ -202,6 +206,7 @@
         self.load = None
         self.on_finish = None
         self.reached = False
+        self.free_after_s = 0.0
 
 
 def make_refusal_answer(refusal, detail=""):
