Start no request whose dependency cannot take its calls

Cause: a limit below was not known where the request starts. The share of a route that a daemon admits follows failures, so it first needs them.

Change: a daemon learns which services the requests of a route call, from the calls of its own upstream, and how long these can wait. While all hosts of such a service that it prefers are limited and none has a start in half that time, requests of the route are refused with "pressure" before they start, at random by the share of requests that call the service.

--- a/egretlift/admission/pace.py
+++ b/egretlift/admission/pace.py
@@ -38,15 +38,24 @@
         because a downstream call was refused for overload.
     interval_start : float
         Time of the last adjustment in monotonic seconds.
+    dependencies : dict of str to Dependency
+        Services that the route's requests call; see `egretlift.admission.dependencies`.
     """
 
-    __slots__ = ("finished", "admitted_share", "failed", "interval_start")
+    __slots__ = (
+        "admitted_share",
+        "dependencies",
+        "failed",
+        "finished",
+        "interval_start",
+    )
 
     def __init__(self, now):
         self.admitted_share = 1.0
         self.finished = 0
         self.failed = 0
         self.interval_start = now
+        self.dependencies = {}
 
 
 def record_finished(route_admission, failed_by_overload, now):
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -14,6 +14,7 @@
     record_repeated_arrival,
 )
 from egretlift.serving.checks import ROUTE_RANKS
+from egretlift.serving.dependencies import find_limited_dependency, record_route_calls
 from egretlift.serving.parents import end_call, start_call
 from egretlift.serving.refusals import (
     NESTED_FAILURE,
@@ -51,6 +52,10 @@
         route_admission = board.ensure_route_admission(call.route)
         if not should_admit(route_admission, call.returned, board.random):
             return refuse("pressure")
+        limited = find_limited_dependency(board, route_admission)
+        if limited is not None:
+            board.log("dependency-limited", call, dependency=limited)
+            return refuse("pressure")
     if not check_repeat_budget(board, call, now):
         return refuse("repeat-budget")
     started = asyncio.get_running_loop().create_future()
@@ -160,7 +165,9 @@
         set_nested_cause(answer, running)
     if not call.is_inner and answer.reached:
         overloaded = answer.reason == NESTED_OVERLOAD
-        record_finished(board.ensure_route_admission(call.route), overloaded, ended_at)
+        route_admission = board.ensure_route_admission(call.route)
+        record_finished(route_admission, overloaded, ended_at)
+        record_route_calls(route_admission, running, answer)
     return answer
 
 
--- a/egretlift/serving/parents.py
+++ b/egretlift/serving/parents.py
@@ -31,15 +31,24 @@
     call : Call
     expires_at : float
         Monotonic time of the deadline given to the upstream, in seconds.
+    called : dict of str to float
+        Seconds that a nested call could wait for its start, by the service called.
     nested_failed, nested_overloaded : bool
         Whether a nested call failed, and whether one was refused because of overload.
     """
 
-    __slots__ = ("call", "expires_at", "nested_failed", "nested_overloaded")
+    __slots__ = (
+        "call",
+        "called",
+        "expires_at",
+        "nested_failed",
+        "nested_overloaded",
+    )
 
     def __init__(self, call, expires_at):
         self.call = call
         self.expires_at = expires_at
+        self.called = {}
         self.nested_failed = False
         self.nested_overloaded = False
 
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -7,6 +7,7 @@
 from egretlift.outcome import Outcome
 from egretlift.serving import checks
 from egretlift.serving.call import Call
+from egretlift.serving.execution import WAIT_SHARE
 from egretlift.serving.offers import serve_call
 from egretlift.serving.parents import find_parent
 from egretlift.serving.refusals import (
@@ -142,6 +143,7 @@
         call.origin_at = parent.call.origin_at
         call.rank = parent.call.rank
         call.parent_id = parent.call.request_id
+        parent.called[call.service] = WAIT_SHARE * (call.deadline - started)
     return call, parent
 
 
