Raise the rate of an upstream step by step after its limit has ended

Three limits overlapped on an upstream; its answers stated none from 19.43 s on, and in the half second until the last of them ended it got 45 requests.

Cause: the end of a limit let the demand that had gathered at all hosts start at once.

Change: after the end of a limit the rate doubles each half second and is unlimited after three; a limit that is stated again applies at once.

--- a/egretlift/admission/tests/test_upstream_limit.py
+++ b/egretlift/admission/tests/test_upstream_limit.py
@@ -7,6 +7,7 @@
 from egretlift.admission.upstream_limit import (
     UpstreamLimit,
     adopt_statement,
+    get_stated_rate,
     record_statement,
 )
 
@@ -123,6 +124,14 @@
         served = sum(at >= 6.0 for at in upstream.starts)
         self.assertGreater(served, 0.9 * 60 * 4.0)
 
+    def test_rush_at_the_end_of_a_limit(self):
+        """Guards against all waiting demand that meets an upstream just out of need."""
+        for end in (5.0, 7.0):
+            with self.subTest(end=end):
+                upstream = simulate(((1.0, 6.0), (end, None)), 60.0, 10.0)
+                got = count_window(upstream.starts, 4.0, end + 0.7)
+                self.assertLessEqual(got, OVERAGE * 6.0 * WINDOW_S + SLACK)
+
     def test_order_of_answers(self):
         """Guards against a limit that ends with an answer written before it."""
         for sent_at, expected in ((0.9, 10.0), (1.1, None)):
@@ -130,7 +139,7 @@
                 limit = UpstreamLimit()
                 record_statement(limit, 10.0, 0.5, 1.0)
                 record_statement(limit, None, sent_at, 1.2)
-                self.assertEqual(limit.rate_per_s, expected)
+                self.assertEqual(get_stated_rate(limit), expected)
 
     def test_limit_known_to_another_daemon(self):
         """Guards against a restarted daemon that ignores a limit others know of."""
@@ -144,9 +153,9 @@
                 for rate_per_s in observed:
                     record_statement(limit, rate_per_s, 0.5, 1.0)
                 adopt_statement(limit, 4.0, 1.5)
-                self.assertEqual(limit.rate_per_s, expected)
+                self.assertEqual(get_stated_rate(limit), expected)
                 record_statement(limit, None, 1.6, 2.0)
-                self.assertIsNone(limit.rate_per_s)
+                self.assertIsNone(get_stated_rate(limit))
 
 
 class TestCallers(unittest.TestCase):
--- a/egretlift/admission/upstream_limit.py
+++ b/egretlift/admission/upstream_limit.py
@@ -4,6 +4,9 @@
 all hosts together, for as long as that holds. Only the daemon on its host sends
 requests to it, so this daemon can hold the limit alone, with a token bucket: each
 request that starts takes a token.
+
+A limit that ends is raised step by step: the demand that has gathered meanwhile, at
+this host and at others, would otherwise meet an upstream that has just recovered.
 """
 
 # Size of the bucket: the tokens of this many seconds, and at least one.
@@ -12,6 +15,10 @@
 # An upstream that states a lower rate still gets requests at this one, since only the
 # answer to a request can tell that the limit has ended.
 RATE_MINIMUM_PER_S = 0.2
+# After the end of a limit, the rate doubles in each of these intervals, and is
+# unlimited after the second.
+DOUBLING_S = 0.5
+RECOVERY_S = 3.0
 
 
 class UpstreamLimit:
@@ -25,7 +32,10 @@
     is_observed : bool
         Whether the upstream has answered, so that its limit is known first-hand.
     rate_per_s : float or None
-        Requests a second that the upstream takes; None if it states no limit.
+        Requests a second that the upstream takes or, while the limit is being raised,
+        took last; None if there is no limit.
+    ended_at : float or None
+        Monotonic time, in seconds, at which the limit ended; None if it lasts.
     stated_at : float
         Monotonic time, in seconds, of the last answer that stated a limit.
     tokens : float
@@ -35,6 +45,7 @@
     """
 
     __slots__ = (
+        "ended_at",
         "is_observed",
         "rate_per_s",
         "refilled_at",
@@ -47,6 +58,7 @@
         self.upstream = upstream
         self.is_observed = False
         self.rate_per_s = None
+        self.ended_at = None
         self.stated_at = float("-inf")
         self.tokens = 0.0
         self.refilled_at = 0.0
@@ -77,16 +89,44 @@
     True
     >>> record_statement(limit, None, 1.1, 1.3)
     False
-    >>> record_statement(limit, None, 1.3, 1.4), limit.rate_per_s
+    >>> record_statement(limit, None, 1.3, 1.4), get_stated_rate(limit)
     (True, None)
     """
-    before = limit.rate_per_s
+    before = get_stated_rate(limit)
     limit.is_observed = True
     if rate_per_s is not None:
         set_rate(limit, rate_per_s, now)
-    elif sent_at > limit.stated_at:
-        limit.rate_per_s = None
-    return limit.rate_per_s != before
+    elif sent_at > limit.stated_at and before is not None:
+        refill(limit, now)
+        limit.ended_at = now
+    return get_stated_rate(limit) != before
+
+
+def get_stated_rate(limit):
+    """Return the limit that the upstream states now, None if it states none."""
+    return limit.rate_per_s if limit.ended_at is None else None
+
+
+def compute_rate(limit, now):
+    """Return the rate at which requests may start now, None if it is not limited.
+
+    Examples
+    --------
+    >>> limit = UpstreamLimit()
+    >>> changed = record_statement(limit, 10.0, 0.0, 0.2)
+    >>> changed = record_statement(limit, None, 1.0, 1.2)
+    >>> compute_rate(limit, 1.2), round(compute_rate(limit, 2.2)), limit.ended_at
+    (10.0, 40, 1.2)
+    >>> compute_rate(limit, 4.3), limit.ended_at
+    (None, None)
+    """
+    if limit.ended_at is None:
+        return limit.rate_per_s
+    elapsed_s = now - limit.ended_at
+    if elapsed_s > RECOVERY_S:
+        limit.rate_per_s = limit.ended_at = None
+        return None
+    return limit.rate_per_s * 2 ** (elapsed_s / DOUBLING_S)
 
 
 def adopt_statement(limit, rate_per_s, now):
@@ -105,16 +145,18 @@
     """Set the rate limit, for a statement of now."""
     refill(limit, now)
     limit.rate_per_s = max(RATE_MINIMUM_PER_S, rate_per_s)
+    limit.ended_at = None
     limit.stated_at = now
 
 
 def refill(limit, now):
     """Add the tokens for the time since the last refill, up to the bucket's size."""
-    if limit.rate_per_s is None:
+    rate_per_s = compute_rate(limit, now)
+    if rate_per_s is None:
         limit.tokens = 0.0
     else:
-        size = max(BURST_MINIMUM, BURST_S * limit.rate_per_s)
-        added = limit.rate_per_s * (now - limit.refilled_at)
+        size = max(BURST_MINIMUM, BURST_S * rate_per_s)
+        added = rate_per_s * (now - limit.refilled_at)
         limit.tokens = min(size, limit.tokens + added)
     limit.refilled_at = now
 
@@ -124,7 +166,7 @@
     if limit.rate_per_s is None:
         return True
     refill(limit, now)
-    return limit.tokens >= 1.0
+    return limit.rate_per_s is None or limit.tokens >= 1.0
 
 
 def take_token(limit):
@@ -148,4 +190,7 @@
     if limit.rate_per_s is None:
         return 0.0
     refill(limit, now)
-    return max(0.0, (ahead + 1 - limit.tokens) / limit.rate_per_s)
+    rate_per_s = compute_rate(limit, now)
+    if rate_per_s is None:
+        return 0.0
+    return max(0.0, (ahead + 1 - limit.tokens) / rate_per_s)
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -4,6 +4,7 @@
 
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
+from egretlift.admission.upstream_limit import compute_rate, get_stated_rate
 from egretlift.clock import read_clock
 from egretlift.membership.upstream import may_serve, record_leaving, refusal_reason
 from egretlift.outcome import Outcome
@@ -133,7 +134,7 @@
     them waited until the deadline, the request would miss it. A rate limit lasts, so a
     call that does not start soon is better told to come back.
     """
-    if not call.is_inner and board.slots.rate_limit.rate_per_s is None:
+    if not call.is_inner and compute_rate(board.slots.rate_limit, now) is None:
         return call.deadline
     wait_s = WAIT_SHARE * (call.deadline - now)
     mean_duration_s = admission.get_mean_duration_s(board.slots, call.route)
@@ -249,7 +250,7 @@
     ``sent_at`` is the monotonic time, in seconds, at which the request was sent.
     """
     slots = board.slots
-    before = slots.rate_limit.rate_per_s
+    before = get_stated_rate(slots.rate_limit)
     stated = board.dialect.read_rate_limit(fields)
     if admission.record_rate_limit(slots, stated, sent_at, read_clock()):
         handle_changed_limit(board, before, "upstream")
@@ -276,7 +277,7 @@
     slots = board.slots
     board.log_change(
         "upstream-limit",
-        rate_per_s=slots.rate_limit.rate_per_s,
+        rate_per_s=get_stated_rate(slots.rate_limit),
         before=before,
         source=source,
         requests=board.count_upstream_requests(),
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -8,7 +8,11 @@
 
 from egretlift.admission.pace import CallerTimeouts, RouteAdmission
 from egretlift.admission.slots import Slots
-from egretlift.admission.upstream_limit import estimate_wait_s
+from egretlift.admission.upstream_limit import (
+    compute_rate,
+    estimate_wait_s,
+    get_stated_rate,
+)
 from egretlift.clock import read_clock
 from egretlift.events import record_event
 from egretlift.load import Load
@@ -278,7 +282,8 @@
 
     def state_upstream(self):
         """Return what this host's upstream states, None if it is nothing unusual."""
-        current, rate_per_s = self.upstream.current, self.slots.rate_limit.rate_per_s
+        current = self.upstream.current
+        rate_per_s = get_stated_rate(self.slots.rate_limit)
         has_left = self.upstream.status in (DRAINING, GONE)
         if current is None or (rate_per_s is None and not has_left):
             return None
@@ -319,14 +324,14 @@
     def measure_load(self):
         """Return the load of this host's upstream."""
         slots = self.slots
-        rate_limit, queued = slots.rate_limit, len(slots.waiting)
+        rate_limit, queued, now = slots.rate_limit, len(slots.waiting), read_clock()
         return Load(
             slots.running,
             slots.limit,
             queued,
             slots.duration_s,
-            rate_limit.rate_per_s,
-            estimate_wait_s(rate_limit, queued, read_clock()),
+            compute_rate(rate_limit, now),
+            estimate_wait_s(rate_limit, queued, now),
         )
 
     def may_execute(self, service):
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -9,6 +9,7 @@
 import anyio
 
 from egretlift.admission.slots import refuse_waiting
+from egretlift.admission.upstream_limit import get_stated_rate
 from egretlift.clock import read_clock
 from egretlift.daemon.tasks import keep_running
 from egretlift.errors import PlatformUnavailable
@@ -103,10 +104,11 @@
 
 def log_limited_upstream(board):
     """Log how many requests the upstream has got while it states a rate limit."""
-    if board.slots.rate_limit.rate_per_s is not None:
+    rate_per_s = get_stated_rate(board.slots.rate_limit)
+    if rate_per_s is not None:
         board.log_change(
             "upstream-limited",
-            rate_per_s=board.slots.rate_limit.rate_per_s,
+            rate_per_s=rate_per_s,
             requests=board.count_upstream_requests(),
             running=board.slots.running,
             queued=len(board.slots.waiting),
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -2,6 +2,7 @@
 
 from aioprometheus import Counter, Gauge, Registry, render
 
+from egretlift.admission.upstream_limit import get_stated_rate
 from egretlift.transport.http_messages import Response
 
 METRICS_PATH = "/metrics"
@@ -63,7 +64,7 @@
         if board.configuration
         else 0,
         "store_served": int(bool(board.store_ok)),
-        "upstream_rate_limit": board.slots.rate_limit.rate_per_s or 0,
+        "upstream_rate_limit": get_stated_rate(board.slots.rate_limit) or 0,
     }
     for name, value in gauges.items():
         gauge = Gauge(f"egretlift_{name}", f"Current {name}", registry=registry)
