Give statements of the upstream and the timer of starts their own modules

What answers state is now read in serving/statements.py, and the timer under a rate limit is in serving/starts.py; no behaviour changes.

Measured: integration.test_upstream_limit, egretlift.serving.tests and integration.test_sidecar.TestRequests pass.

--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -4,9 +4,9 @@
 
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
-from egretlift.admission.upstream_limit import compute_rate, get_stated_rate
+from egretlift.admission.upstream_limit import compute_rate
 from egretlift.clock import read_clock
-from egretlift.membership.upstream import may_serve, record_leaving, refusal_reason
+from egretlift.membership.upstream import may_serve, refusal_reason
 from egretlift.outcome import Outcome
 from egretlift.retries.arrivals import (
     admit_repeat,
@@ -23,6 +23,8 @@
     answer_unknown,
     refuse,
 )
+from egretlift.serving.starts import schedule_start
+from egretlift.serving.statements import read_statements
 from egretlift.transport.exchange import (
     ExchangeBroken,
     NotSent,
@@ -84,26 +86,6 @@
         schedule_start(board)
 
 
-def schedule_start(board):
-    """Set the timer for the next start if it needs no slot to be released.
-
-    Does nothing while the timer is set.
-    """
-    if board.start_timer is not None:
-        return
-    delay_s = admission.compute_start_delay_s(board.slots, read_clock())
-    if delay_s is not None:
-        loop = asyncio.get_running_loop()
-        board.start_timer = loop.call_later(delay_s, start_waiting_calls, board)
-
-
-def start_waiting_calls(board):
-    """Start the calls that the rate limit of the upstream lets start now."""
-    board.start_timer = None
-    admission.start_waiting(board.slots, read_clock())
-    schedule_start(board)
-
-
 def is_important(call):
     """Return whether a call is of a route that is shed last.
 
@@ -184,7 +166,7 @@
 
 async def send_to_upstream(board, call, remaining_s):
     """Send a call to the upstream and return its answer."""
-    current, rate_limit = board.upstream.current, board.slots.rate_limit
+    current = board.upstream.current
     upstream_id = current.upstream_id
     headers = board.dialect.make_upstream_headers(call, upstream_id, remaining_s)
     data = encode_request(call.method, call.target, headers, call.body)
@@ -221,22 +203,10 @@
         return answer_unknown("upstream-broke", 502)
     if received is None:
         return answer_unknown("deadline", 504)
-    if board.slots.rate_limit is rate_limit:
-        record_upstream_limit(board, received.fields, sent_at)
-    if board.dialect.states_leaving(received.fields):
-        handle_leaving_upstream(board, current)
+    read_statements(board, received.fields, current, sent_at)
     return classify_response(board, received)
 
 
-def handle_leaving_upstream(board, announcement):
-    """Send no further calls to the upstream of a heartbeat, which says it leaves."""
-    upstream_id = announcement.upstream_id
-    if record_leaving(board.upstream, upstream_id, announcement.born):
-        board.log_change("upstream-leaving", upstream=upstream_id)
-        admission.refuse_waiting(board.slots, board.upstream.status)
-        board.mark_entry_changed()
-
-
 def describe_kind(call):
     """Return the kind of a request to the upstream, a label of its counter."""
     if call.repeated or call.of_repeat:
@@ -244,52 +214,6 @@
     return "nested" if call.is_inner else "first"
 
 
-def record_upstream_limit(board, fields, sent_at):
-    """Record the rate limit that an answer states, and log a change.
-
-    ``sent_at`` is the monotonic time, in seconds, at which the request was sent.
-    """
-    slots = board.slots
-    before = get_stated_rate(slots.rate_limit)
-    stated = board.dialect.read_rate_limit(fields)
-    if admission.record_rate_limit(slots, stated, sent_at, read_clock()):
-        handle_changed_limit(board, before, "upstream")
-
-
-def adopt_known_limit(board, statement):
-    """Adopt the rate limit that another daemon knows of this host's upstream.
-
-    ``statement`` is a `Statement`, or None if the daemon knows none.
-    """
-    slots = board.slots
-    if statement is None or statement.upstream != slots.rate_limit.upstream:
-        return
-    known = statement.rate_per_s
-    if known is not None and admission.adopt_rate_limit(slots, known, read_clock()):
-        handle_changed_limit(board, None, "daemon")
-
-
-def handle_changed_limit(board, before, source):
-    """Log a change of the rate limit, and set the timer of the next start anew.
-
-    ``before`` is the earlier limit; ``source`` tells who stated the new one.
-    """
-    slots = board.slots
-    board.log_change(
-        "upstream-limit",
-        rate_per_s=get_stated_rate(slots.rate_limit),
-        before=before,
-        source=source,
-        requests=board.count_upstream_requests(),
-        running=slots.running,
-        queued=len(slots.waiting),
-    )
-    if board.start_timer is not None:
-        board.start_timer.cancel()
-        board.start_timer = None
-    schedule_start(board)
-
-
 def mark_unreachable(board, upstream_id):
     """Stop using the upstream until its next heartbeat and refuse waiting calls.
 
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -14,9 +14,10 @@
 )
 from egretlift.serving.call import Call, decode_age, decode_context
 from egretlift.serving.checks import CheckFailed
-from egretlift.serving.execution import adopt_known_limit, execute_locally
+from egretlift.serving.execution import execute_locally
 from egretlift.serving.offers import REACHED_HEADER
 from egretlift.serving.refusals import answer_refusal, refuse
+from egretlift.serving.statements import adopt_known_limit
 from egretlift.sidecar.bodies import check_body
 from egretlift.sidecar.callers import answer_before_end
 from egretlift.sidecar.delivery import make_response
