--- a/egretlift/admission/upstream_limit.py
+++ b/egretlift/admission/upstream_limit.py
@@ -15,8 +15,8 @@
 # An upstream that states a lower rate still gets requests at this one, since only the
 # answer to a request can tell that the limit has ended.
 RATE_MINIMUM_PER_S = 0.2
-# After the end of a limit, the rate doubles in each of these intervals, and is
-# unlimited after the second.
+# After the end of a limit, the rate doubles every DOUBLING_S, and is unlimited after
+# RECOVERY_S.
 DOUBLING_S = 0.5
 RECOVERY_S = 3.0
 
