--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -75,8 +75,8 @@
     "nested-wait-share": [
         Replacement(
             "egretlift/serving/execution.py",
-            "NESTED_WAIT_SHARE = 0.25",
-            "NESTED_WAIT_SHARE = 1.0",
+            "WAIT_SHARE = 0.25",
+            "WAIT_SHARE = 1.0",
         )
     ],
     "usable-share": [
