--- a/egretlift/cli/explain.py
+++ b/egretlift/cli/explain.py
@@ -23,7 +23,16 @@
     "cause",
 )
 # Kinds of events that concern a single request; all others report a state change.
-REQUEST_EVENTS = frozenset(("offer", "answered", "not-whole", "upstream-broke"))
+REQUEST_EVENTS = frozenset(
+    (
+        "offer",
+        "answered",
+        "not-whole",
+        "upstream-broke",
+        "answer-unframed",
+        "answers-dropped",
+    )
+)
 
 
 def find_related(events, request_id):
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -203,10 +203,22 @@
         return answer_unknown("upstream-broke", 502)
     if received is None:
         return answer_unknown("deadline", 504)
+    log_unusual_answer(board, call, received)
     read_statements(board, received.fields, current, sent_at)
     return classify_response(board, received)
 
 
+def log_unusual_answer(board, call, received):
+    """Log and count an answer that ended with its connection or came after others."""
+    if received.end is not None:
+        board.count("unframed_answers", received.end)
+        size = len(received.body)
+        board.log("answer-unframed", call, end=received.end, body_bytes=size)
+    if received.dropped:
+        board.count("late_answers")
+        board.log("answers-dropped", call, dropped=received.dropped)
+
+
 def describe_kind(call):
     """Return the kind of a request to the upstream, a label of its counter."""
     if call.repeated or call.of_repeat:
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -10,8 +10,10 @@
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, float("inf"))
 HELP = {
     "answers": "Answers given, by outcome and reason",
+    "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
     "store_calls": "Calls to the store",
+    "unframed_answers": "Answers that ended with their connection, by kind of end",
     "upstream_connections": "Connections opened to the upstream",
     "upstream_requests": "Requests sent to the upstream, by kind",
 }
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import errno
 import socket
 
 import httptools
@@ -48,15 +49,22 @@
     fields : dict
         Header values by name in lower case; of a repeated header, the last value.
     body : bytes
+    end : str or None
+        How the connection ended, if that delimits the body; see
+        `describe_connection_end`. None for an answer that states its end.
+    dropped : int
+        Answers to other requests that arrived before it.
     """
 
-    __slots__ = ("body", "fields", "headers", "status")
+    __slots__ = ("body", "dropped", "end", "fields", "headers", "status")
 
-    def __init__(self, status, headers, fields, body):
+    def __init__(self, status, headers, fields, body, end=None, dropped=0):
         self.status = status
         self.headers = headers
         self.fields = fields
         self.body = body
+        self.end = end
+        self.dropped = dropped
 
 
 class BufferedBytes:
@@ -258,6 +266,8 @@
             self.headers,
             self.fields,
             b"".join(self.body),
+            None if self.framed else describe_connection_end(self.transport),
+            self.stray_answers,
         )
         if not self.accepts(received.fields):
             self.reusable = False
@@ -350,6 +360,17 @@
         )
 
 
+def describe_connection_end(transport):
+    """Return how the peer ended a connection: "close", or the name of an error.
+
+    An event loop may report the end of a connection that was reset like that of one
+    that was closed.
+    """
+    sock = transport.get_extra_info("socket")
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return errno.errorcode.get(code, str(code)) if code else "close"
+
+
 def set_socket_options(sock):
     """Disable Nagle's algorithm, and detect an unreachable peer within seconds."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
