Take the end of a connection for the end of a body only if it was closed

Callers got a success with the upstream's seal and a body that was cut off. Cause: an answer without a length was completed at eof_received, but libuv calls that for a reset too if the reset arrives together with the last bytes (it sees POLLHUP after a partial read and makes an end of stream of it), and the error stays on the socket. The unit tests run on asyncio's own loop, which raises the error.

The error of the socket is now read before the body is taken for whole; with an error the request is broken, its outcome is unknown, and an idempotent one is sent elsewhere.

--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -210,10 +210,9 @@
 
 def log_unusual_answer(board, call, received):
     """Log and count an answer that ended with its connection or came after others."""
-    if received.end is not None:
-        board.count("unframed_answers", received.end)
-        size = len(received.body)
-        board.log("answer-unframed", call, end=received.end, body_bytes=size)
+    if not received.framed:
+        board.count("unframed_answers")
+        board.log("answer-unframed", call, body_bytes=len(received.body))
     if received.dropped:
         board.count("late_answers")
         board.log("answers-dropped", call, dropped=received.dropped)
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -13,7 +13,7 @@
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
     "store_calls": "Calls to the store",
-    "unframed_answers": "Answers that ended with their connection, by kind of end",
+    "unframed_answers": "Whole answers that ended with their connection",
     "upstream_connections": "Connections opened to the upstream",
     "upstream_requests": "Requests sent to the upstream, by kind",
 }
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -49,21 +49,20 @@
     fields : dict
         Header values by name in lower case; of a repeated header, the last value.
     body : bytes
-    end : str or None
-        How the connection ended, if that delimits the body; see
-        `describe_connection_end`. None for an answer that states its end.
+    framed : bool
+        Whether the answer stated where it ends; otherwise its connection was closed.
     dropped : int
         Answers to other requests that arrived before it.
     """
 
-    __slots__ = ("body", "dropped", "end", "fields", "headers", "status")
+    __slots__ = ("body", "dropped", "fields", "framed", "headers", "status")
 
-    def __init__(self, status, headers, fields, body, end=None, dropped=0):
+    def __init__(self, status, headers, fields, body, framed=True, dropped=0):
         self.status = status
         self.headers = headers
         self.fields = fields
         self.body = body
-        self.end = end
+        self.framed = framed
         self.dropped = dropped
 
 
@@ -191,12 +190,20 @@
             self.fail("head too large")
 
     def eof_received(self):
-        """Complete an answer whose body is delimited by the end of the connection."""
+        """Complete an answer whose body is delimited by the end of the connection.
+
+        The body is whole only if the peer closed the connection. libuv calls this for a
+        reset too if that arrived together with the last bytes.
+        """
         self.eof = True
         is_unframed_body = self.in_answer and not self.in_head and not self.framed
         if self.waiter is not None and is_unframed_body:
             self.reusable = False
-            self.complete()
+            error = read_socket_error(self.transport)
+            if error:
+                self.fail(f"connection lost in the body: {error}")
+            else:
+                self.complete()
         return False
 
     def connection_lost(self, error):
@@ -266,7 +273,7 @@
             self.headers,
             self.fields,
             b"".join(self.body),
-            None if self.framed else describe_connection_end(self.transport),
+            self.framed,
             self.stray_answers,
         )
         if not self.accepts(received.fields):
@@ -360,15 +367,11 @@
         )
 
 
-def describe_connection_end(transport):
-    """Return how the peer ended a connection: "close", or the name of an error.
-
-    An event loop may report the end of a connection that was reset like that of one
-    that was closed.
-    """
+def read_socket_error(transport):
+    """Return the name of the pending error of a socket, "" if there is none."""
     sock = transport.get_extra_info("socket")
     code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return errno.errorcode.get(code, str(code)) if code else "close"
+    return errno.errorcode.get(code, str(code)) if code else ""
 
 
 def set_socket_options(sock):
