Wait for the true answer behind one that names no request

What callers saw: status 502 though the upstream had run the request and answered it. On a kept connection, an upstream may write a copy of an earlier answer where the next one is expected. A copy with neither identifier nor seal (a 500, or a 503 that says "not executed") was accepted as the answer, and the true one was thrown away with the connection.

Cause: `matches_request` accepts an answer without identifier and seal, since errors of a failing upstream come so, and the connection delivered the first accepted answer.

Change: on a connection that carried a request before, an accepted answer that names no request is held back until one comes that does, or none can come: the connection ends, "Connection: close" or the time limit. On a fresh connection there is nothing to repeat, so it is delivered at once. After such an answer the connection is not used again; an upstream whose answers never have an identifier therefore delays at most one request per idle connection.

--- a/egretlift/platform/requests.py
+++ b/egretlift/platform/requests.py
@@ -133,7 +133,8 @@
 
     An upstream that ran a request returns its identifier and a seal. A sealed answer
     without an identifier may be a late copy of an earlier answer, and is rejected. An
-    answer with neither is accepted, but tells nothing about the request.
+    answer with neither is accepted, but tells nothing about the request, and counts
+    only if none comes that `names_request`.
     """
     echoed = fields.get(REQUEST_ID_FIELD)
     if echoed is None:
@@ -141,6 +142,11 @@
     return echoed == request_id
 
 
+def names_request(fields):
+    """Return whether an upstream's answer has a request identifier."""
+    return REQUEST_ID_FIELD in fields
+
+
 def has_request_id(headers):
     """Return whether the (name, value) headers contain a request identifier."""
     return any(name.lower() == REQUEST_ID_FIELD for name, _ in headers)
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -194,6 +194,7 @@
             remaining_s + ANSWER_MARGIN_S,
             record_arrival,
             lambda received: keeps_connection(board, received),
+            board.dialect.names_request,
         )
     except NotSent:
         mark_unreachable(board, upstream_id)
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -2,7 +2,8 @@
 
 An upstream may answer late, twice, or with bytes that are not HTTP. An answer is
 therefore accepted only if it carries the identifier of the request, and a connection
-that received anything else is closed after the current request.
+that received anything else is closed after the current request. An answer that names no
+request counts only if no better one comes.
 """
 
 import asyncio
@@ -52,7 +53,7 @@
     framed : bool
         Whether the answer stated where it ends; otherwise its connection was closed.
     dropped : int
-        Answers to other requests that arrived before it.
+        Answers to other requests, or to none, that arrived before it.
     """
 
     __slots__ = ("body", "dropped", "fields", "framed", "headers", "status")
@@ -129,10 +130,13 @@
         "idle_since",
         "in_answer",
         "in_head",
+        "is_named",
         "parser",
+        "requests",
         "reusable",
         "stray_answers",
         "transport",
+        "unnamed_answer",
         "waiter",
     )
 
@@ -149,6 +153,9 @@
         self.idle_since = 0.0
         self.idle_limit_s = IDLE_DEFAULT_S
         self.accepts = None
+        self.is_named = None
+        self.unnamed_answer = None
+        self.requests = 0
         self.head_only = False
         self.start_answer()
         self.parser = httptools.HttpResponseParser(self)
@@ -277,14 +284,43 @@
             self.stray_answers,
         )
         if not self.accepts(received.fields):
-            self.reusable = False
-            self.stray_answers += 1
-            if self.stray_answers > STRAY_ANSWERS_MAXIMUM:
-                self.fail("too many answers to other requests")
+            self.count_stray_answer()
             return
+        if self.is_named is not None and not self.is_named(received.fields):
+            self.reusable = False
+            if self.may_be_followed():
+                self.hold_answer(received)
+                return
         self.read_idle_limit(received.fields)
         waiter.set_result(received)
 
+    def may_be_followed(self):
+        """Return whether an answer that names no request may precede the true one.
+
+        It may be a copy of an earlier answer only if the connection carried one. The
+        end of an answer to ``HEAD`` and of one without a length is not known to the
+        parser, so nothing can be read after it.
+        """
+        can_read_on = self.framed and not self.head_only
+        return self.requests > 1 and can_read_on and self.parser.should_keep_alive()
+
+    def hold_answer(self, received):
+        """Keep an answer that names no request until it is known that no other comes.
+
+        The body is dropped, as it would take memory of the pool while waiting.
+        """
+        if self.unnamed_answer is None:
+            received.body = b""
+            self.unnamed_answer = received
+        self.count_stray_answer()
+
+    def count_stray_answer(self):
+        """Count an answer before the one waited for; too many end the request."""
+        self.reusable = False
+        self.stray_answers += 1
+        if self.stray_answers > STRAY_ANSWERS_MAXIMUM:
+            self.fail("too many answers to other requests")
+
     def read_idle_limit(self, fields):
         """Set the idle limit from the peer's ``Keep-Alive: timeout`` header."""
         for part in fields.get("keep-alive", "").split(","):
@@ -294,11 +330,17 @@
                 self.idle_limit_s = max(0.0, int(value) - IDLE_MARGIN_S)
 
     def fail(self, reason):
-        """Close the connection; an open request raises ``ExchangeBroken``."""
+        """Close the connection; an open request raises ``ExchangeBroken``.
+
+        If an answer that names no request came, the open request gets that one.
+        """
         waiter, self.waiter = self.waiter, None
         release_buffered(self.buffered, self)
         if waiter is not None and not waiter.done():
-            waiter.set_exception(ExchangeBroken(reason))
+            if self.unnamed_answer is not None:
+                waiter.set_result(self.unnamed_answer)
+            else:
+                waiter.set_exception(ExchangeBroken(reason))
         self.abort()
 
     def abort(self):
@@ -308,11 +350,11 @@
             self.transport.abort()
 
     def time_out(self):
-        """End the open request without an answer."""
+        """End the open request with an answer that names no request, or with none."""
         if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
+            self.waiter.set_result(self.unnamed_answer)
 
-    async def request(self, data, accepts, head_only, timeout_s):
+    async def request(self, data, accepts, head_only, timeout_s, is_named=None):
         """Send one request and return its answer, None if it does not come in time.
 
         The connection is closed after a request without an answer.
@@ -327,6 +369,11 @@
         head_only : bool
             Whether the answer has no body, whatever its headers state, as for ``HEAD``.
         timeout_s : float
+        is_named : callable, optional
+            Takes the headers of an accepted answer and returns whether they name the
+            request; by default each accepted answer does. One that does not, on a
+            connection that carried a request before, is returned without its body, and
+            only if no other is accepted until the connection or the time ends.
 
         Raises
         ------
@@ -334,6 +381,9 @@
             No complete answer arrived; the request may have been run.
         """
         self.accepts = accepts
+        self.is_named = is_named
+        self.unnamed_answer = None
+        self.requests += 1
         self.head_only = head_only
         self.start_answer()
         self.head_bytes = 0
--- a/egretlift/transport/exchange.py
+++ b/egretlift/transport/exchange.py
@@ -95,7 +95,15 @@
 
 
 async def exchange(
-    pool, endpoint, method, data, accepts, timeout_s, on_sent=None, keeps=None
+    pool,
+    endpoint,
+    method,
+    data,
+    accepts,
+    timeout_s,
+    on_sent=None,
+    keeps=None,
+    is_named=None,
 ):
     """Send a request to an endpoint and return its answer, None if it does not come.
 
@@ -115,6 +123,8 @@
     keeps : callable, optional
         Takes the `ReceivedAnswer` and returns whether the connection may be used for
         another request; by default it may.
+    is_named : callable, optional
+        See `Connection.request`.
 
     Raises
     ------
@@ -130,7 +140,9 @@
         timeout_s -= read_clock() - started
     if on_sent is not None:
         on_sent()
-    received = await connection.request(data, accepts, method == "HEAD", timeout_s)
+    received = await connection.request(
+        data, accepts, method == "HEAD", timeout_s, is_named
+    )
     may_keep = keeps is None or (received is not None and keeps(received))
     if may_keep and connection.is_reusable(read_clock()):
         pool.idle.setdefault(endpoint, deque()).append(connection)
