Reject answers that name two requests or bear two seals

What callers would see: status 200 with the body of another request, if one head has two identifiers, another request's first.

Cause: of a repeated header the last value was kept, and decided alone.

Change: different values of a repeated header are joined by commas, as they are for requests, so two identifiers match no request and the answer is dropped like a late one. An answer with two different seals is told from no upstream's own and becomes a 502 "answer-not-sealed". Equal repetitions, as a proxy may add, change nothing. Two values of `Server-Limit` are no number and state no limit. Two lengths broke the connection before too; the table now has a row for it.

Evidence: two rows of `test_repeated_headers`, "two identifiers" and "two seals", fail on the unchanged code on asyncio and uvloop, and pass with the change.

--- a/egretlift/platform/requests.py
+++ b/egretlift/platform/requests.py
@@ -106,6 +106,14 @@
     return SEAL_FIELD in fields and "content-encoding" not in fields
 
 
+def has_one_seal(headers):
+    """Return whether the (name, value) headers contain one seal, perhaps repeated.
+
+    Headers with two different seals are those of more than one answer.
+    """
+    return len({value for name, value in headers if name.lower() == SEAL_FIELD}) == 1
+
+
 def read_rate_limit(fields):
     """Return the rate limit that an upstream states, in requests a second, or None.
 
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -262,7 +262,8 @@
         if received.status == 421:
             mark_unreachable(board, board.upstream.current.upstream_id)
         return refuse("upstream-refused", reached=True)
-    if not dialect.is_sealed(received.fields):
+    is_sealed = dialect.is_sealed(received.fields)
+    if not is_sealed or not dialect.has_one_seal(received.headers):
         if received.status < 500:
             return answer_unknown("answer-not-sealed", 502)
         return answer_unknown("upstream-failed", 502)
--- a/egretlift/serving/tests/test_stray_answers.py
+++ b/egretlift/serving/tests/test_stray_answers.py
@@ -220,6 +220,29 @@
                 with self.subTest(name, loop=loop):
                     self.assertFalse(run(receive(parts, is_fresh)).is_kept)
 
+    def test_repeated_headers(self):
+        """Guards against the body of another request, named by two identifiers."""
+        whole, unknown = Outcome.WHOLE, Outcome.UNKNOWN
+        size = len(BODY)
+        two_ids = make_head(200, ID_A, ID_B, SEAL, length=size) + BODY
+        own_first = make_head(200, ID_B, ID_A, SEAL, length=size) + BODY
+        same_ids = make_head(200, ID_B, ID_B, SEAL, length=size) + BODY
+        other_seal = SEAL.replace(b"s\r", b"t\r")
+        two_seals = make_head(200, ID_B, SEAL, other_seal, length=size) + BODY
+        same_seals = make_head(200, ID_B, SEAL, SEAL, length=size) + BODY
+        lengths = make_head(200, ID_B, SEAL, b"Content-Length: 3\r\n", length=size)
+        self.check(
+            (
+                ("two identifiers", [two_ids], "none", b"", True),
+                ("own one first", [own_first], "none", b"", True),
+                ("then the answer", [two_ids, TRUE_B], whole, BODY, False),
+                ("one identifier twice", [same_ids], whole, BODY, False),
+                ("two seals", [two_seals], unknown, b"", False),
+                ("one seal twice", [same_seals], whole, BODY, False),
+                ("two lengths", [lengths + BODY], "broken", b"", False),
+            )
+        )
+
     def test_bytes_after_the_answer(self):
         """Guards against a whole answer that is lost to the bytes behind it."""
         whole = Outcome.WHOLE
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -48,7 +48,8 @@
     headers : list of (str, str)
         Header names and values as received, repeated ones included.
     fields : dict
-        Header values by name in lower case; of a repeated header, the last value.
+        Header values by name in lower case. Different values of a repeated header are
+        joined by commas; equal ones count as one.
     body : bytes
     framed : bool
         Whether the answer stated where it ends; otherwise its connection was closed.
@@ -234,7 +235,10 @@
             return
         name, value = name.decode("latin-1"), value.decode("latin-1")
         self.headers.append((name, value))
-        self.fields[name.lower()] = value
+        lowered = name.lower()
+        known = self.fields.setdefault(lowered, value)
+        if known != value:
+            self.fields[lowered] = f"{known}, {value}"
 
     def on_headers_complete(self):
         """Record whether the answer is framed: its end is known without a close."""
