Fail a body on the product's own path that a reset cut off

What callers saw: on the product's own path (`egretlift.daemon`), status 200 with a part of the body, framed as complete, when an upstream's answer has no length and its connection is reset.

Cause: the same class as "an end of the connection is taken for the end of the body". aiohttp feeds the end to the parser of the body for each end of a connection, with an error too, on asyncio and on uvloop.

Change: the sessions' protocol gives an unfinished body the error before aiohttp ends it, and reads the socket's pending error at the end of the stream, where libuv reports some resets as an orderly end. The reader of the body then raises `ClientPayloadError`, as for a body that is shorter than its length.

Evidence: on the unchanged code 12 rows of the new table fail (three sizes, with and without a pause, on asyncio and uvloop), all of this reader; the rows of the store's client (httpx, whose documents are JSON) pass. All pass with the change.

--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -1,7 +1,11 @@
 """Forwarding of calls to an upstream or another daemon; classification of answers."""
 
+import asyncio
+import functools
+
 import aiohttp
 import anyio
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 
 from egretlift.outcome import (
@@ -14,6 +18,7 @@
     Outcome,
     Refusal,
 )
+from egretlift.transport.connection import read_socket_error
 from egretlift.transport.messages import (
     BUFFERED_BODY_BYTES_MAXIMUM,
     Answer,
@@ -29,6 +34,32 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, EOFError)
 
 
+class AnswerProtocol(ResponseHandler):
+    """Connection of a session that fails a body cut off by a reset.
+
+    aiohttp takes any end of the connection for the end of a body without a length.
+    """
+
+    __slots__ = ("end_error",)
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.end_error = ""
+
+    def eof_received(self):
+        """Read the socket's error: libuv reports some resets as an end of stream."""
+        self.end_error = read_socket_error(self.transport)
+        super().eof_received()
+
+    def connection_lost(self, error):
+        """Fail an unfinished body unless the peer closed the connection."""
+        reason = error or self.end_error
+        payload = self._payload
+        if reason and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"cut off: {reason}"))
+        super().connection_lost(error)
+
+
 def open_session(settings):
     """Return a client session for calls to one kind of target, upstream or daemons.
 
@@ -42,6 +73,8 @@
         keepalive_timeout=30,
         use_dns_cache=False,
     )
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(AnswerProtocol, loop=loop)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- /dev/null
+++ b/egretlift/transport/tests/test_other_readers.py
@@ -0,0 +1,107 @@
+"""The readers of answers besides `exchange`: aiohttp and httpx."""
+
+import asyncio
+import socket
+import unittest
+
+import uvloop
+
+from egretlift.errors import PlatformUnavailable
+from egretlift.outcome import Outcome
+from egretlift.platform.store import StoreClient
+from egretlift.settings import Settings
+from egretlift.transport.forward import open_session, send_request
+from egretlift.transport.tests.test_cut_answers import Call
+from egretlift.transport.tests.test_exchange import RESET_ON_CLOSE
+
+LOOPS = (("asyncio", asyncio.run), ("uvloop", uvloop.run))
+PAUSE_S = 0.05
+HEAD = b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"
+BODY = b'{"name": "value"}'
+
+
+async def serve_once(listener, data, resets, pause_s):
+    """Answer one request with ``data`` and close or reset the connection."""
+    loop = asyncio.get_running_loop()
+    sock, _ = await loop.sock_accept(listener)
+    with sock:
+        await loop.sock_recv(sock, 65536)
+        sock.send(data)
+        if pause_s:
+            await asyncio.sleep(pause_s)
+        if resets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+async def receive(make_reader, data, resets, pause_s):
+    """Return what a reader takes for whole, None if it takes nothing."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        peer = asyncio.create_task(serve_once(listener, data, resets, pause_s))
+        read, close = make_reader(listener.getsockname()[1])
+        try:
+            return await read()
+        finally:
+            await peer
+            await close()
+
+
+def make_forward(port):
+    """Return a reader of the product's own path, and what closes it."""
+    session = open_session(Settings())
+
+    async def read():
+        url = f"http://127.0.0.1:{port}/a"
+        try:
+            answer, _ = await send_request(session, url, Call(), [], 2.0)
+            if answer.outcome is not Outcome.WHOLE:
+                return None
+            if answer.response is None:
+                return answer.body
+            return await answer.response.read()
+        except Exception as error:
+            if isinstance(error, OSError) or "payload" in type(error).__name__.lower():
+                return None
+            raise
+
+    return read, session.close
+
+
+def make_store_reader(port):
+    """Return a reader of the store's documents, and what closes it."""
+    client = StoreClient(("127.0.0.1", port))
+
+    async def read():
+        try:
+            return (await client.send("GET", "/-/objects/k"))[1]
+        except PlatformUnavailable:
+            return None
+
+    return read, client.close
+
+
+class TestOtherReaders(unittest.TestCase):
+    """What the readers without identifiers take for whole."""
+
+    def test_body_cut_off_by_a_reset(self):
+        """Guards against a body cut off by a reset that is taken for whole."""
+        for reader, whole in (
+            (make_forward, BODY),
+            (make_store_reader, {"name": "value"}),
+        ):
+            for loop, run in LOOPS:
+                for size in (0, 1, len(BODY) - 1):
+                    for pause_s in (0.0, PAUSE_S):
+                        with self.subTest(
+                            reader.__name__, loop=loop, size=size, pause_s=pause_s
+                        ):
+                            data = HEAD + BODY[:size]
+                            found = run(receive(reader, data, True, pause_s))
+                            self.assertIsNone(found)
+                with self.subTest(reader.__name__, loop=loop, ends="close"):
+                    found = run(receive(reader, HEAD + BODY, False, 0.0))
+                    self.assertEqual(found, whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
