Close a connection of the product's own path that gets a second answer

What callers saw: on the product's own path (`egretlift.daemon`), the late second answer to an earlier call as the answer to their own.

Cause: aiohttp queues an answer that arrives on an idle connection, does not look at the queue when it takes the connection from its pool, and reads the queued answer first. A second answer in the same read as the first was noticed, since the connection was not yet in the pool.

Change: the sessions' protocol closes the connection if bytes arrive after a complete answer and before the next request; the answer itself stays whole. As answers on this path name no call, one that arrives only after the next request was sent cannot be told from the true one.

Evidence: on the unchanged code the rows "later" of the new test fail for a small and a large body on asyncio and uvloop (4 rows), and pass with the change.

The same test for the store's client fails in its row "same read" on both loops: h11 keeps the bytes for the next cycle.

--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -35,16 +35,37 @@
 
 
 class AnswerProtocol(ResponseHandler):
-    """Connection of a session that fails a body cut off by a reset.
+    """Connection of a session that takes each byte for one answer only.
 
-    aiohttp takes any end of the connection for the end of a body without a length.
+    aiohttp takes any end of the connection for the end of a body without a length, and
+    what arrives on an idle connection for the answer to the next request.
     """
 
-    __slots__ = ("end_error",)
+    __slots__ = ("end_error", "last_body")
 
     def __init__(self, loop):
         super().__init__(loop)
         self.end_error = ""
+        self.last_body = None
+
+    def set_response_params(self, **options):
+        """Start a request: an answer is due from now on."""
+        self.last_body = None
+        super().set_response_params(**options)
+
+    def feed_data(self, answer, size=0):
+        """Record the body of the answer, unless it is an informational one (1xx)."""
+        message, body = answer
+        if message.code >= 200:
+            self.last_body = body
+        super().feed_data(answer, size)
+
+    def data_received(self, data):
+        """Close the connection if the answer is already complete."""
+        if data and self.last_body is not None and self.last_body.is_eof():
+            self.transport.abort()
+            return
+        super().data_received(data)
 
     def eof_received(self):
         """Read the socket's error: libuv reports some resets as an end of stream."""
--- a/egretlift/transport/tests/test_other_readers.py
+++ b/egretlift/transport/tests/test_other_readers.py
@@ -11,6 +11,7 @@
 from egretlift.platform.store import StoreClient
 from egretlift.settings import Settings
 from egretlift.transport.forward import open_session, send_request
+from egretlift.transport.messages import BUFFERED_BODY_BYTES_MAXIMUM
 from egretlift.transport.tests.test_cut_answers import Call
 from egretlift.transport.tests.test_exchange import RESET_ON_CLOSE
 
@@ -18,6 +19,15 @@
 PAUSE_S = 0.05
 HEAD = b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"
 BODY = b'{"name": "value"}'
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+
+def make_answer(body):
+    """Return an answer with a length."""
+    return ANSWER % (len(body), body)
+
+
+FIRST, SECOND, COPY = (make_answer(b'{"n": %d}' % n) for n in (1, 2, 9))
 
 
 async def serve_once(listener, data, resets, pause_s):
@@ -46,6 +56,39 @@
             await close()
 
 
+async def receive_in_turn(make_reader, script):
+    """Return what a reader takes for the answers to requests sent one by one.
+
+    ``script`` holds what the peer writes on each request, over all connections: parts
+    that are read one by one.
+    """
+    script, count = list(script), len(script)
+
+    async def serve(reader, writer):
+        try:
+            while script:
+                await reader.readuntil(b"\r\n\r\n")
+                for part in script.pop(0):
+                    writer.write(part)
+                    await asyncio.sleep(0.01)
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    read, close = make_reader(server.sockets[0].getsockname()[1])
+    found = []
+    for _ in range(count):
+        found.append(await read())
+        await asyncio.sleep(0.05)
+    await close()
+    server.close()
+    await asyncio.sleep(0.02)
+    return found
+
+
 def make_forward(port):
     """Return a reader of the product's own path, and what closes it."""
     session = open_session(Settings())
@@ -58,6 +101,8 @@
                 return None
             if answer.response is None:
                 return answer.body
+            # The rest of the body, and what follows, arrives meanwhile.
+            await asyncio.sleep(0.03)
             return await answer.response.read()
         except Exception as error:
             if isinstance(error, OSError) or "payload" in type(error).__name__.lower():
@@ -102,6 +147,25 @@
                     found = run(receive(reader, HEAD + BODY, False, 0.0))
                     self.assertEqual(found, whole)
 
+    def test_second_answer_to_a_call(self):
+        """Guards against a second answer that is read as the next one."""
+        small, large = b"S", b"L" * (BUFFERED_BODY_BYTES_MAXIMUM + 1)
+        for size, body in (("small", small), ("large", large)):
+            first = make_answer(body)
+            for name, parts in (("same", [first + COPY]), ("later", [first, COPY])):
+                for loop, run in LOOPS:
+                    with self.subTest(name, size=size, loop=loop):
+                        found = run(receive_in_turn(make_forward, [parts, [SECOND]]))
+                        self.assertEqual(found, [body, b'{"n": 2}'])
+
+    def test_second_answer_of_the_store(self):
+        """Guards against a second answer of the store that is read as the next one."""
+        for name, parts in (("same read", [FIRST + COPY]), ("later", [FIRST, COPY])):
+            for loop, run in LOOPS:
+                with self.subTest(name, loop=loop):
+                    found = run(receive_in_turn(make_store_reader, [parts, [SECOND]]))
+                    self.assertEqual(found, [{"n": 1}, {"n": 2}])
+
 
 if __name__ == "__main__":
     unittest.main()
