Test that a body which looks like an answer is delivered

An upstream may return recorded answers. The bytes are the same as if a copy of another answer had displaced the body, so the reader does not guess. The test passes without a change of the code.

--- a/egretlift/serving/tests/test_stray_answers.py
+++ b/egretlift/serving/tests/test_stray_answers.py
@@ -271,6 +271,24 @@
             )
         )
 
+    def test_bodies_that_are_answers(self):
+        """Guards against losing a body that looks like another answer.
+
+        An upstream may return recorded answers. The bytes are the same as if a copy had
+        displaced the body, or been added to one without a length.
+        """
+        whole, size = Outcome.WHOLE, len(COPY_A)
+        framed = make_head(200, ID_B, SEAL, length=size) + COPY_A
+        added = BODY + COPY_A
+        self.check(
+            (
+                ("framed", [framed], whole, COPY_A, False),
+                ("framed, extra answer", [framed + TRUE_B], whole, COPY_A, False),
+                ("no length", [OPEN_B + COPY_A, CLOSE], whole, COPY_A, False),
+                ("a part of the body", [OPEN_B, added, CLOSE], whole, added, False),
+            )
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
