Test that answers of one identifier stay on their connections

Two requests with the same identifier that an upstream runs at once each get the answer of their own connection, with a copy of the first behind both.

--- a/egretlift/serving/tests/test_stray_answers.py
+++ b/egretlift/serving/tests/test_stray_answers.py
@@ -141,6 +141,42 @@
     return result
 
 
+async def receive_at_once(request_id, bodies):
+    """Return the bodies that two simultaneous requests of one identifier get.
+
+    The upstream answers both in the order in which they came, and writes the first
+    answer once more behind each.
+    """
+    bodies, waiting = list(bodies), []
+    line = b"X-Request-Id: %s\r\n" % request_id.encode()
+    answers = [make_head(200, line, SEAL, length=len(body)) + body for body in bodies]
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            waiting.append(writer)
+            if len(waiting) == len(answers):
+                for other, answer in zip(waiting, answers, strict=True):
+                    other.write(answer + answers[0])
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    endpoint, pool = server.sockets[0].getsockname(), Pool()
+    first = asyncio.create_task(send(pool, endpoint, request_id))
+    await asyncio.sleep(0.02)
+    second = await send(pool, endpoint, request_id)
+    results = [await first, second]
+    are_kept = any(pool.idle.values())
+    close_pool(pool)
+    server.close()
+    await asyncio.sleep(0.03)
+    return [result.body for result in results], are_kept
+
+
 class TestStrayAnswers(unittest.TestCase):
     """What the caller of the second request on a connection gets."""
 
@@ -271,6 +307,18 @@
             )
         )
 
+    def test_one_identifier_at_once(self):
+        """Guards against an answer delivered to another request of its identifier.
+
+        The connection tells them apart, and one that got a copy is not used again.
+        """
+        bodies = [b"first", b"second"]
+        for loop, run in LOOPS:
+            with self.subTest(loop=loop):
+                found, are_kept = run(receive_at_once("b", bodies))
+                self.assertEqual(found, bodies)
+                self.assertFalse(are_kept)
+
     def test_bodies_that_are_answers(self):
         """Guards against losing a body that looks like another answer.
 
