Tie each answer of another daemon to its request and its sender

A daemon took whatever came next on a connection to another daemon for the answer to its request. A late copy of a grant of rate tokens was used twice.

The cause is that send_to_peer and read_document accepted any answer, and that a missing outcome only made the outcome unknown, not the status. Nothing in a document names the request that it answers.

Each request between daemons now names the host that it is meant for and a random number; the server repeats this header in each answer, refusals of malformed requests and internal errors included. Other answers are dropped as those of other requests are on connections to upstreams. A daemon refuses a request that is meant for another host, before it runs. An answer that states an upstream's outcome must name the call and have a seal, and a daemon's own answer must not be a success; otherwise the call may have run, and the caller is told so.

An answer cut at any byte was refused before as well.

--- a/egretlift/outcome.py
+++ b/egretlift/outcome.py
@@ -14,6 +14,9 @@
 RETRIES_HEADER = "egretlift-retries-left"
 LOAD_HEADER = "egretlift-load"
 STATEMENT_HEADER = "egretlift-upstream"
+# Names the host that a request of another daemon is meant for, and the exchange; the
+# answer repeats it.
+EXCHANGE_HEADER = "egretlift-exchange"
 CAUSE_HEADER = "egretlift-cause"
 # Values of the cause header: a nested call, made by the upstream while it ran this
 # call, failed or was refused because of overload.
--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -38,6 +38,7 @@
 )
 from egretlift.serving.call import encode_age, encode_context
 from egretlift.serving.execution import execute_locally
+from egretlift.serving.peer_requests import exchange_with_peer, is_consistent
 from egretlift.serving.refusals import (
     FINAL_REASONS,
     NESTED_FAILURE,
@@ -45,12 +46,7 @@
     answer_unknown,
     refuse,
 )
-from egretlift.transport.exchange import (
-    ExchangeBroken,
-    NotSent,
-    encode_request,
-    exchange,
-)
+from egretlift.transport.exchange import ExchangeBroken, NotSent
 from egretlift.transport.messages import Answer, read_outcome, select_answer_headers
 
 # Reasons with which a host refuses all calls for the time being.
@@ -268,20 +264,19 @@
     known = find_statement(board, entry)
     if known is not None:
         headers.append((STATEMENT_HEADER, encode_statement(known)))
-    data = encode_request(call.method, call.target, headers, call.body)
     if not peer.outstanding:
         peer.waiting_since = now
     peer.outstanding += 1
     peer.sent += 1
     call.is_sent = True
     try:
-        received = await exchange(
-            board.peer_pool,
-            (entry.address, entry.peer_port),
-            call.method,
-            data,
-            lambda fields: True,
-            call.deadline - now + ANSWER_MARGIN_S,
+        timeout_s = call.deadline - now + ANSWER_MARGIN_S
+        received = await exchange_with_peer(
+            board,
+            entry,
+            (call.method, call.target, headers, call.body),
+            timeout_s,
+            call.request_id,
         )
     except NotSent:
         eject(peer, read_clock())
@@ -295,6 +290,9 @@
         peer.outstanding -= 1
     if received is None:
         answer = answer_unknown("deadline", 504)
+    elif not is_consistent(board.dialect, call.request_id, received):
+        board.log("peer-answer-invalid", call, peer=entry.host, status=received.status)
+        answer = answer_unknown("peer-broke", 502)
     else:
         peer.waiting_since = read_clock()
         answer = read_peer_answer(peer, received)
--- a/egretlift/sidecar/documents.py
+++ b/egretlift/sidecar/documents.py
@@ -2,7 +2,7 @@
 
 import json
 
-from egretlift.transport.exchange import encode_request, exchange
+from egretlift.serving.peer_requests import exchange_with_peer
 
 
 async def read_document(board, peer, target, timeout_s):
@@ -15,14 +15,13 @@
     TimeoutError
         There was no answer within ``timeout_s`` seconds.
     ValueError
-        The answer is not JSON.
+        The answer is a refusal, or not JSON.
     """
     entry = peer.entry
-    endpoint = (entry.address, entry.peer_port)
-    data = encode_request("GET", target, [("Host", entry.address)], b"")
-    received = await exchange(
-        board.peer_pool, endpoint, "GET", data, lambda fields: True, timeout_s
-    )
+    request = ("GET", target, [("Host", entry.address)], b"")
+    received = await exchange_with_peer(board, entry, request, timeout_s)
     if received is None:
         raise TimeoutError(f"no answer of {entry.host} in {timeout_s} s")
+    if received.status != 200:
+        raise ValueError(f"{entry.host} answered with status {received.status}")
     return json.loads(received.body)
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -15,6 +15,7 @@
 from egretlift.errors import PlatformUnavailable
 from egretlift.events import record_event, start_logging
 from egretlift.events.output import Output
+from egretlift.outcome import EXCHANGE_HEADER
 from egretlift.platform import requests as dialect
 from egretlift.platform.bootfile import read_settings_file
 from egretlift.platform.names import HOST_KIND, SETTINGS_FILE_VARIABLE
@@ -80,14 +81,15 @@
     settings = board.settings
     metrics = (settings.address, settings.metrics_port)
     ports = []
-    for handle, endpoint in (
-        (handle_readiness, settings.readiness),
-        (handle_heartbeat, settings.heartbeats),
-        (handle_peer, settings.peer),
-        (handle_metrics, metrics),
-        (handle_caller, settings.caller),
+    for handle, endpoint, repeated_header in (
+        (handle_readiness, settings.readiness, ""),
+        (handle_heartbeat, settings.heartbeats, ""),
+        (handle_peer, settings.peer, EXCHANGE_HEADER),
+        (handle_metrics, metrics, ""),
+        (handle_caller, settings.caller, ""),
     ):
-        ports.append(await listen(bind_board(handle, board), settings, *endpoint))
+        handle_one = bind_board(handle, board)
+        ports.append(await listen(handle_one, settings, *endpoint, repeated_header))
     return ports
 
 
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -7,6 +7,7 @@
 from egretlift.outcome import (
     AGE_HEADER,
     CONTEXT_HEADER,
+    EXCHANGE_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
@@ -16,6 +17,7 @@
 from egretlift.serving.checks import CheckFailed
 from egretlift.serving.execution import execute_locally
 from egretlift.serving.offers import REACHED_HEADER
+from egretlift.serving.peer_requests import is_meant_for
 from egretlift.serving.refusals import answer_refusal, refuse
 from egretlift.serving.statements import adopt_known_limit
 from egretlift.sidecar.bodies import check_body
@@ -29,6 +31,8 @@
 async def handle_peer(board, request):
     """Answer one request of another daemon: a document, rate tokens or a call."""
     target = request.target
+    if not is_meant_for(request.fields.get(EXCHANGE_HEADER), board.settings.host):
+        return refuse_misdirected(board, request)
     if target == CONFIGURATION_PATH:
         return answer_configuration(board)
     if target == HOSTS_PATH:
@@ -58,6 +62,19 @@
         board.open_requests -= 1
 
 
+def refuse_misdirected(board, request):
+    """Refuse a request that was meant for another host, which had this address."""
+    board.log_change("request-misdirected")
+    answer = refuse("absent")
+    extra = [
+        (OUTCOME_HEADER, answer.outcome.value),
+        (REASON_HEADER, answer.reason),
+        (REACHED_HEADER, "0"),
+    ]
+    request_id = board.dialect.read_request_id(request.fields)
+    return make_response(board, answer, request_id, None, extra)
+
+
 async def execute_for_peer(board, request):
     """Run the call in a request of another daemon and return its answer."""
     if board.leaving:
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -46,6 +46,8 @@
     ----------
     request : Request or None
         None if the request could not be read; the response tells why.
+    mark : str or None
+        Value of the header that its response repeats, None if it has none.
     may_overlap : bool
         Whether it may run before the requests ahead of it are answered.
     task : Task or None
@@ -53,10 +55,11 @@
     response : Response or None
     """
 
-    __slots__ = ("may_overlap", "request", "response", "task")
+    __slots__ = ("mark", "may_overlap", "request", "response", "task")
 
-    def __init__(self, request, response=None):
+    def __init__(self, request, response=None, mark=None):
         self.request = request
+        self.mark = mark
         self.response = response
         self.task = None
         self.may_overlap = (
@@ -76,6 +79,9 @@
         Takes a `Request` and returns a `Response`.
     settings : object
         Has ``header_timeout_s``, the time in seconds for a whole request head.
+    repeated_header : str
+        Name, in lower case, of a request header that each response repeats; empty for
+        none.
 
     Attributes
     ----------
@@ -84,11 +90,12 @@
         Whether another malformed request may be logged now.
     """
 
-    __slots__ = ("connections", "handle", "may_report", "settings")
+    __slots__ = ("connections", "handle", "may_report", "repeated_header", "settings")
 
-    def __init__(self, handle, settings):
+    def __init__(self, handle, settings, repeated_header=""):
         self.handle = handle
         self.settings = settings
+        self.repeated_header = repeated_header
         self.connections = set()
         self.may_report = make_report_limiter(MALFORMED_EVENTS_PER_SECOND)
 
@@ -262,10 +269,14 @@
             not is_last,
         )
         self.is_ended = is_last
-        self.pending.append(PendingRequest(request))
+        self.pending.append(PendingRequest(request, mark=self.read_mark()))
         if len(self.pending) >= PIPELINED_MAXIMUM:
             self.transport.pause_reading()
 
+    def read_mark(self):
+        """Return the value that the response to the request being read repeats."""
+        return self.fields.get(self.server.repeated_header)
+
     def refuse_malformed(self, is_too_long, cause):
         """Refuse a request that is not valid HTTP, and read no further one."""
         if self.is_ended:
@@ -283,7 +294,8 @@
         """Queue a refusal as the last answer on this connection."""
         self.is_ended = True
         self.body = []
-        self.pending.append(PendingRequest(None, make_refusal_response(refusal)))
+        response = make_refusal_response(refusal)
+        self.pending.append(PendingRequest(None, response, self.read_mark()))
         self.write_ready()
 
     def start_pending(self):
@@ -315,7 +327,11 @@
             item = self.pending.popleft()
             closes = self.is_last(item)
             is_head = item.request is not None and item.request.method == "HEAD"
-            self.transport.write(encode_response(item.response, is_head, closes))
+            response = item.response
+            if item.mark is not None:
+                mark = (self.server.repeated_header, item.mark)
+                response.headers = [*response.headers, mark]
+            self.transport.write(encode_response(response, is_head, closes))
             if closes:
                 self.is_ended = True
                 self.pending.clear()
@@ -374,12 +390,12 @@
             connection.check_time(now)
 
 
-async def listen(handle, settings, address, port):
+async def listen(handle, settings, address, port, repeated_header=""):
     """Serve HTTP on one port and return (server, listener); see `Server`.
 
     `check_connections` is to run as long as the listener is open.
     """
-    server = Server(handle, settings)
+    server = Server(handle, settings, repeated_header)
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(
         lambda: ServerConnection(server),
