Ask for no body that has already arrived

A client that sent a request with "Expect: 100-continue" behind another one, and its body without waiting, got status 100 after the answer to that request, where the next answer is expected.

The flag that the client waits was only cleared when the next request began, so that it was still set when all answers were written. The state of a request is now cleared when it is complete.

The new row of test_http_server fails on the unchanged code (it ends with "HTTP/1.1 100 Continue"), and passes now.

--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -270,6 +270,7 @@
         )
         self.is_ended = is_last
         self.pending.append(PendingRequest(request, mark=self.read_mark()))
+        self.start_message()
         if len(self.pending) >= PIPELINED_MAXIMUM:
             self.transport.pause_reading()
 
--- a/egretlift/transport/tests/test_http_server.py
+++ b/egretlift/transport/tests/test_http_server.py
@@ -81,6 +81,12 @@
                 b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200",
                 b"POST /a bc",
             ),
+            (
+                "asks behind another and does not wait",
+                [b"GET /a" + HEAD + b"\r\nPOST /b" + HEAD + EXPECT + b"bc"],
+                b"HTTP/1.1 200",
+                b"POST /b bc|open",
+            ),
             (
                 "head",
                 [b"HEAD /a" + HEAD + CLOSE + b"\r\n"],
