Keep reading after the last answer of a connection

A client that had sent further requests behind one whose answer closes the connection could lose that answer: it saw a reset, although the request had run and its answer was written. So did a client whose body was refused while it was still being sent.

The connection was closed at once. The kernel resets a connection that is closed with unread bytes, and on bytes that arrive later, and a reset may discard answers that the client hasn't read. The server now closes its side only, drops what still comes, and closes the connection when the client has closed its side, or after a second.

The row "more after the last" of test_http_server ended in "|reset" in both runs on the unchanged code. All pass now.

--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -34,6 +34,8 @@
 BODY_GAP_S = 5.0
 IDLE_S = 75.0
 CHECK_INTERVAL_S = 1.0
+# How long a client may take to close its side after the last answer.
+LINGER_S = 1.0
 # Requests of one connection that run at the same time; reading pauses at this number.
 PIPELINED_MAXIMUM = 32
 OVERLAPPING_METHODS = frozenset(("GET", "HEAD"))
@@ -111,6 +113,8 @@
         Whether the client waits for status 100 before it sends a body.
     is_ended : bool
         Whether further bytes are ignored, because the last request was read.
+    is_closing : bool
+        Whether the last answer was written, and the client is to close the connection.
     in_message, in_head : bool
         Whether a request, or its head, is partly read.
     progress_at : float
@@ -127,6 +131,7 @@
         "headers",
         "in_head",
         "in_message",
+        "is_closing",
         "is_ended",
         "parser",
         "pending",
@@ -143,6 +148,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.head_bytes = 0
         self.is_ended = False
+        self.is_closing = False
         self.in_message = self.in_head = True
         self.progress_at = read_clock()
         self.start_message()
@@ -334,15 +340,27 @@
                 response.headers = [*response.headers, mark]
             self.transport.write(encode_response(response, is_head, closes))
             if closes:
-                self.is_ended = True
-                self.pending.clear()
-                self.transport.close()
+                self.end_writing()
                 return
         self.progress_at = read_clock()
         self.send_continue()
         self.start_pending()
         self.resume_reading()
 
+    def end_writing(self):
+        """Close this side of the connection, and drop what the client still sends.
+
+        Closing a socket with unread requests resets the connection, which may cost the
+        client the answers that it has not read yet.
+        """
+        self.is_ended = self.is_closing = True
+        self.pending.clear()
+        self.progress_at = read_clock()
+        if self.transport.is_closing():
+            return
+        self.transport.write_eof()
+        self.resume_reading()
+
     def is_last(self, item):
         """Return whether the connection closes after an answer.
 
@@ -354,9 +372,11 @@
 
     def check_time(self, now):
         """Close the connection if its client has been silent for too long."""
+        silent_s = now - self.progress_at
+        if self.is_closing and silent_s > LINGER_S:
+            self.transport.close()
         if self.is_ended or self.pending:
             return
-        silent_s = now - self.progress_at
         if not self.in_message:
             if silent_s > IDLE_S:
                 self.transport.close()
--- a/egretlift/transport/tests/test_http_server.py
+++ b/egretlift/transport/tests/test_http_server.py
@@ -1,11 +1,16 @@
 """Bytes of clients that the HTTP server answers, refuses or waits for."""
 
 import asyncio
+import socket
+import time
 import unittest
 
+import uvloop
+
 from egretlift.transport.http_messages import Response
 from egretlift.transport.http_server import (
     BODY_BYTES_MAXIMUM,
+    LINGER_S,
     check_connections,
     listen,
 )
@@ -127,6 +132,12 @@
                 b"HTTP/1.1 200",
                 b"GET /a ",
             ),
+            (
+                "more after the last",
+                [b"GET /a" + HEAD + CLOSE + b"\r\n"] + 5 * [b"GET /b" + HEAD + b"\r\n"],
+                b"HTTP/1.1 200",
+                b"GET /a ",
+            ),
         ):
             with self.subTest(name):
                 received = asyncio.run(send(parts))
@@ -166,6 +177,27 @@
             with self.subTest(name):
                 self.assertEqual(asyncio.run(wait_for_close(part)), (b"", 0))
 
+    def test_client_that_never_closes(self):
+        """Guards against connections that stay open after their last answer."""
+
+        async def wait_for_end():
+            server, listener = await listen(echo, Limits(), "127.0.0.1", 0)
+            checks = asyncio.create_task(check_connections(server))
+            sock = socket.create_connection(listener.sockets[0].getsockname())
+            sock.send(b"GET /a" + HEAD + CLOSE + b"\r\n")
+            started = time.monotonic()
+            await asyncio.sleep(LINGER_S / 2)
+            while server.connections and time.monotonic() - started < 5.0:
+                await asyncio.sleep(0.05)
+            checks.cancel()
+            sock.close()
+            listener.close()
+            return len(server.connections)
+
+        for name, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+            with self.subTest(name):
+                self.assertEqual(run(wait_for_end()), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
