Start no pipelined requests while their client does not read

Reading was paused while the client left answers unread, but each answer that was written resumed it, and requests that had been read were started in any case. The connection now remembers that answers are unread, and neither starts nor reads nor writes until the client reads on.

--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -115,6 +115,8 @@
         Whether further bytes are ignored, because the last request was read.
     is_closing : bool
         Whether the last answer was written, and the client is to close the connection.
+    is_unread : bool
+        Whether the client leaves so many answers unread that no more are written.
     in_message, in_head : bool
         Whether a request, or its head, is partly read.
     progress_at : float
@@ -133,6 +135,7 @@
         "in_message",
         "is_closing",
         "is_ended",
+        "is_unread",
         "parser",
         "pending",
         "progress_at",
@@ -149,6 +152,7 @@
         self.head_bytes = 0
         self.is_ended = False
         self.is_closing = False
+        self.is_unread = False
         self.in_message = self.in_head = True
         self.progress_at = read_clock()
         self.start_message()
@@ -178,16 +182,20 @@
                 item.task.cancel()
 
     def pause_writing(self):
-        """Read no more requests while the client does not read its responses."""
+        """Read and start no requests while the client does not read its responses."""
+        self.is_unread = True
         self.transport.pause_reading()
 
     def resume_writing(self):
-        """Go on reading requests."""
-        self.resume_reading()
+        """Go on writing responses, and with the requests behind them."""
+        self.is_unread = False
+        self.write_ready()
 
     def resume_reading(self):
-        """Read further requests unless too many are pending."""
-        if len(self.pending) < PIPELINED_MAXIMUM and not self.transport.is_closing():
+        """Read further requests unless too many are pending, or answers unread."""
+        if self.is_unread or len(self.pending) >= PIPELINED_MAXIMUM:
+            return
+        if not self.transport.is_closing():
             self.transport.resume_reading()
 
     def data_received(self, data):
@@ -310,6 +318,8 @@
 
         A request that may not overlap runs alone, after all before it are answered.
         """
+        if self.is_unread:
+            return
         for ahead, item in enumerate(self.pending):
             if ahead >= PIPELINED_MAXIMUM or (ahead and not item.may_overlap):
                 return
@@ -330,7 +340,7 @@
 
     def write_ready(self):
         """Write the responses that are ready, in the order of their requests."""
-        while self.pending and self.pending[0].response is not None:
+        while self.pending and self.pending[0].response and not self.is_unread:
             item = self.pending.popleft()
             closes = self.is_last(item)
             is_head = item.request is not None and item.request.method == "HEAD"
@@ -354,6 +364,7 @@
         client the answers that it has not read yet.
         """
         self.is_ended = self.is_closing = True
+        self.awaits_continue = False
         self.pending.clear()
         self.progress_at = read_clock()
         if self.transport.is_closing():
--- a/egretlift/transport/tests/test_pipelining.py
+++ b/egretlift/transport/tests/test_pipelining.py
@@ -1,9 +1,12 @@
 """Pipelined requests: sent before the first of them is answered."""
 
 import asyncio
+import socket
 import time
 import unittest
 
+import uvloop
+
 from egretlift.settings import Settings
 from egretlift.transport.http_messages import Response
 from egretlift.transport.http_server import listen
@@ -121,6 +124,44 @@
         asyncio.run(server.exchange(data, abort_after_s=0.5 * WORK_S))
         self.assertLess(len(server.began), 100)
 
+    def test_client_that_does_not_read(self):
+        """Guards against answers that nobody reads and that exhaust the memory."""
+        count, large = 0, b"x" * 100_000
+
+        async def handle(request):
+            nonlocal count
+            count += 1
+            return Response(200, [], large)
+
+        async def send_only():
+            _, listener = await listen(handle, Settings(), "127.0.0.1", 0)
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(listener.sockets[0].getsockname())
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            data = b"".join(encode("GET", f"/{number}") for number in range(2000))
+            sending = loop.create_task(loop.sock_sendall(sock, data))
+            await asyncio.sleep(4 * WORK_S)
+            unread = count
+            # It reads after all.
+            received = 0
+            async with asyncio.timeout(10.0):
+                while received < 2000 * len(large):
+                    received += len(await loop.sock_recv(sock, 1 << 20))
+            await sending
+            sock.close()
+            listener.close()
+            return unread
+
+        for name, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+            with self.subTest(name):
+                count = 0
+                unread = run(send_only())
+                # The socket's buffers hold some of the answers.
+                self.assertLess(unread, 200)
+                self.assertEqual(count, 2000)
+
 
 if __name__ == "__main__":
     unittest.main()
