Use no idle connection that has unread bytes or has ended

A late copy that reached the host after the last answer and before the next request, but of which the event loop had not told the connection yet, was read as the next answer. A copy with an identifier was dropped by that. One with neither identifier nor seal was taken for the answer, and the caller got a failure that may have run while its whole answer was thrown away. A connection that had ended in the same moment lost the request: nobody could tell whether it had run.

Bytes on an idle connection close it, but only once the loop has read them; a request that starts in the same iteration came first. A copy that arrives after the next request was written can only be told by its identifier, as before.

--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 
 import httptools
@@ -374,6 +375,16 @@
     return errno.errorcode.get(code, str(code)) if code else ""
 
 
+def has_unread(transport):
+    """Return whether a socket has bytes that were not read yet, or has ended.
+
+    The event loop may not have told the connection of it yet.
+    """
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def set_socket_options(sock):
     """Disable Nagle's algorithm, and detect an unreachable peer within seconds."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/egretlift/transport/exchange.py
+++ b/egretlift/transport/exchange.py
@@ -6,7 +6,12 @@
 import anyio
 
 from egretlift.clock import read_clock
-from egretlift.transport.connection import BufferedBytes, Connection, ExchangeBroken
+from egretlift.transport.connection import (
+    BufferedBytes,
+    Connection,
+    ExchangeBroken,
+    has_unread,
+)
 
 __all__ = [
     "ExchangeBroken",
@@ -47,11 +52,14 @@
 
 
 def take_idle(pool, endpoint, now):
-    """Return the last used reusable connection, or None; close the others tried."""
+    """Return the last used reusable connection, or None; close the others tried.
+
+    Unread bytes on an idle connection would be taken for the start of the next answer.
+    """
     connections = pool.idle.get(endpoint)
     while connections:
         connection = connections.pop()
-        if connection.is_reusable(now):
+        if connection.is_reusable(now) and not has_unread(connection.transport):
             return connection
         connection.abort()
     return None
