Answer requests that are cancelled in their place

When a stopping daemon cancelled a pipelined request whose handler had not begun, or did not answer itself, the answers to all later requests of its connection were never written, although these had run. The client saw the connection close without them.

Answers are written in order, and a cancelled task left no answer. A cancelled request is now answered with status 502 and the reason "stopping": it may have run.

Found while the places of answers were checked; no answer was given to another request.

--- a/egretlift/transport/faults.py
+++ b/egretlift/transport/faults.py
@@ -23,6 +23,12 @@
     return Refusal("internal-error", 500, remedy, Outcome.UNKNOWN)
 
 
+def make_cancelled_refusal():
+    """Return the refusal for a request that a stopping daemon cancels (status 502)."""
+    remedy = "the request may have run; query its result before sending a new one"
+    return Refusal("stopping", 502, remedy, Outcome.UNKNOWN)
+
+
 def make_report_limiter(per_second):
     """Return a function that tells whether another event may be recorded now."""
     second, reports = 0, 0
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 from collections import deque
+from functools import partial
 
 import anyio
 import httptools
@@ -17,6 +18,7 @@
 from egretlift.transport.faults import (
     MALFORMED_EVENTS_PER_SECOND,
     MAXIMUM_LINE_BYTES,
+    make_cancelled_refusal,
     make_fault_refusal,
     make_malformed_refusal,
     make_report_limiter,
@@ -326,6 +328,7 @@
             if item.task is None and item.request is not None:
                 loop = asyncio.get_running_loop()
                 item.task = loop.create_task(self.run(item))
+                item.task.add_done_callback(partial(self.answer_cancelled, item))
             if not item.may_overlap:
                 return
 
@@ -338,6 +341,12 @@
             item.response = make_refusal_response(make_fault_refusal())
         self.write_ready()
 
+    def answer_cancelled(self, item, task):
+        """Answer a request whose task was cancelled, so that later answers follow."""
+        if task.cancelled() and not self.transport.is_closing():
+            item.response = make_refusal_response(make_cancelled_refusal())
+            self.write_ready()
+
     def write_ready(self):
         """Write the responses that are ready, in the order of their requests."""
         while self.pending and self.pending[0].response and not self.is_unread:
--- a/egretlift/transport/tests/test_pipelining.py
+++ b/egretlift/transport/tests/test_pipelining.py
@@ -9,7 +9,7 @@
 
 from egretlift.settings import Settings
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import listen
+from egretlift.transport.http_server import cancel_pending, listen
 
 WORK_S = 0.15
 
@@ -162,6 +162,60 @@
                 self.assertLess(unread, 200)
                 self.assertEqual(count, 2000)
 
+    def test_stop_cancels_requests(self):
+        """Guards against answers that wait for ever behind a cancelled request.
+
+        A request may be cancelled before it has begun, and its handler may answer when
+        it is cancelled, as those of callers do.
+        """
+
+        async def handle(request):
+            try:
+                await asyncio.sleep(WORK_S)
+            except asyncio.CancelledError:
+                if "raise" in request.target:
+                    raise
+                return Response(502, [], request.target.encode())
+            return Response(200, [], request.target.encode())
+
+        async def stop(paths, is_begun):
+            server, listener = await listen(handle, Settings(), "127.0.0.1", 0)
+            endpoint = listener.sockets[0].getsockname()
+            reader, writer = await asyncio.open_connection(*endpoint)
+            writer.write(b"".join(encode("GET", path) for path in paths))
+            while not any(item.pending for item in server.connections):
+                await asyncio.sleep(0)
+            if is_begun:
+                await asyncio.sleep(WORK_S / 4)
+            cancel_pending(server)
+            received = b""
+            try:
+                async with asyncio.timeout(3 * WORK_S):
+                    while received.count(b"HTTP/1.1 ") < len(paths):
+                        received += await reader.read(65536)
+            except TimeoutError:
+                pass
+            writer.close()
+            listener.close()
+            return read_paths(received)
+
+        unknown = '{"outcome": "unknown", "reason": "stopping"'
+        for name, paths in (
+            ("answered", ["/a", "/b", "/c"]),
+            ("raised first", ["/raise", "/b", "/c"]),
+            ("raised between", ["/a", "/raise", "/c"]),
+            ("all raised", ["/raise", "/raise2", "/raise3"]),
+        ):
+            for loop, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+                for is_begun in (False, True):
+                    with self.subTest(name, loop=loop, is_begun=is_begun):
+                        found = run(stop(paths, is_begun))
+                        self.assertEqual(len(found), len(paths))
+                        for path, body in zip(paths, found, strict=True):
+                            if body != path:
+                                self.assertTrue(body.startswith(unknown), body)
+                                self.assertTrue("raise" in path or not is_begun)
+
 
 if __name__ == "__main__":
     unittest.main()
