--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 from collections import deque
+from functools import partial
 
 import anyio
 import httptools
@@ -17,6 +18,7 @@
 from egretlift.transport.faults import (
     MALFORMED_EVENTS_PER_SECOND,
     MAXIMUM_LINE_BYTES,
+    make_cancelled_refusal,
     make_fault_refusal,
     make_malformed_refusal,
     make_report_limiter,
@@ -34,6 +36,8 @@
 BODY_GAP_S = 5.0
 IDLE_S = 75.0
 CHECK_INTERVAL_S = 1.0
+# How long a client may take to close its side after the last answer.
+LINGER_S = 1.0
 # Requests of one connection that run at the same time; reading pauses at this number.
 PIPELINED_MAXIMUM = 32
 OVERLAPPING_METHODS = frozenset(("GET", "HEAD"))
@@ -46,6 +50,8 @@
     ----------
     request : Request or None
         None if the request could not be read; the response tells why.
+    mark : str or None
+        Value of the header that its response repeats, None if it has none.
     may_overlap : bool
         Whether it may run before the requests ahead of it are answered.
     task : Task or None
@@ -53,10 +59,11 @@
     response : Response or None
     """
 
-    __slots__ = ("may_overlap", "request", "response", "task")
+    __slots__ = ("mark", "may_overlap", "request", "response", "task")
 
-    def __init__(self, request, response=None):
+    def __init__(self, request, response=None, mark=None):
         self.request = request
+        self.mark = mark
         self.response = response
         self.task = None
         self.may_overlap = (
@@ -76,6 +83,9 @@
         Takes a `Request` and returns a `Response`.
     settings : object
         Has ``header_timeout_s``, the time in seconds for a whole request head.
+    repeated_header : str
+        Name, in lower case, of a request header that each response repeats; empty for
+        none.
 
     Attributes
     ----------
@@ -84,11 +94,12 @@
         Whether another malformed request may be logged now.
     """
 
-    __slots__ = ("connections", "handle", "may_report", "settings")
+    __slots__ = ("connections", "handle", "may_report", "repeated_header", "settings")
 
-    def __init__(self, handle, settings):
+    def __init__(self, handle, settings, repeated_header=""):
         self.handle = handle
         self.settings = settings
+        self.repeated_header = repeated_header
         self.connections = set()
         self.may_report = make_report_limiter(MALFORMED_EVENTS_PER_SECOND)
 
@@ -104,6 +115,10 @@
         Whether the client waits for status 100 before it sends a body.
     is_ended : bool
         Whether further bytes are ignored, because the last request was read.
+    is_closing : bool
+        Whether the last answer was written, and the client is to close the connection.
+    is_unread : bool
+        Whether the client leaves so many answers unread that no more are written.
     in_message, in_head : bool
         Whether a request, or its head, is partly read.
     progress_at : float
@@ -120,7 +135,9 @@
         "headers",
         "in_head",
         "in_message",
+        "is_closing",
         "is_ended",
+        "is_unread",
         "parser",
         "pending",
         "progress_at",
@@ -136,6 +153,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.head_bytes = 0
         self.is_ended = False
+        self.is_closing = False
+        self.is_unread = False
         self.in_message = self.in_head = True
         self.progress_at = read_clock()
         self.start_message()
@@ -165,16 +184,20 @@
                 item.task.cancel()
 
     def pause_writing(self):
-        """Read no more requests while the client does not read its responses."""
+        """Read and start no requests while the client does not read its responses."""
+        self.is_unread = True
         self.transport.pause_reading()
 
     def resume_writing(self):
-        """Go on reading requests."""
-        self.resume_reading()
+        """Go on writing responses, and with the requests behind them."""
+        self.is_unread = False
+        self.write_ready()
 
     def resume_reading(self):
-        """Read further requests unless too many are pending."""
-        if len(self.pending) < PIPELINED_MAXIMUM and not self.transport.is_closing():
+        """Read further requests unless too many are pending, or answers unread."""
+        if self.is_unread or len(self.pending) >= PIPELINED_MAXIMUM:
+            return
+        if not self.transport.is_closing():
             self.transport.resume_reading()
 
     def data_received(self, data):
@@ -262,10 +285,15 @@
             not is_last,
         )
         self.is_ended = is_last
-        self.pending.append(PendingRequest(request))
+        self.pending.append(PendingRequest(request, mark=self.read_mark()))
+        self.start_message()
         if len(self.pending) >= PIPELINED_MAXIMUM:
             self.transport.pause_reading()
 
+    def read_mark(self):
+        """Return the value that the response to the request being read repeats."""
+        return self.fields.get(self.server.repeated_header)
+
     def refuse_malformed(self, is_too_long, cause):
         """Refuse a request that is not valid HTTP, and read no further one."""
         if self.is_ended:
@@ -283,7 +311,8 @@
         """Queue a refusal as the last answer on this connection."""
         self.is_ended = True
         self.body = []
-        self.pending.append(PendingRequest(None, make_refusal_response(refusal)))
+        response = make_refusal_response(refusal)
+        self.pending.append(PendingRequest(None, response, self.read_mark()))
         self.write_ready()
 
     def start_pending(self):
@@ -291,12 +320,15 @@
 
         A request that may not overlap runs alone, after all before it are answered.
         """
+        if self.is_unread:
+            return
         for ahead, item in enumerate(self.pending):
             if ahead >= PIPELINED_MAXIMUM or (ahead and not item.may_overlap):
                 return
             if item.task is None and item.request is not None:
                 loop = asyncio.get_running_loop()
                 item.task = loop.create_task(self.run(item))
+                item.task.add_done_callback(partial(self.answer_cancelled, item))
             if not item.may_overlap:
                 return
 
@@ -309,23 +341,46 @@
             item.response = make_refusal_response(make_fault_refusal())
         self.write_ready()
 
+    def answer_cancelled(self, item, task):
+        """Answer a request whose task was cancelled, so that later answers follow."""
+        if task.cancelled() and not self.transport.is_closing():
+            item.response = make_refusal_response(make_cancelled_refusal())
+            self.write_ready()
+
     def write_ready(self):
         """Write the responses that are ready, in the order of their requests."""
-        while self.pending and self.pending[0].response is not None:
+        while self.pending and self.pending[0].response and not self.is_unread:
             item = self.pending.popleft()
             closes = self.is_last(item)
             is_head = item.request is not None and item.request.method == "HEAD"
-            self.transport.write(encode_response(item.response, is_head, closes))
+            response = item.response
+            if item.mark is not None:
+                mark = (self.server.repeated_header, item.mark)
+                response.headers = [*response.headers, mark]
+            self.transport.write(encode_response(response, is_head, closes))
             if closes:
-                self.is_ended = True
-                self.pending.clear()
-                self.transport.close()
+                self.end_writing()
                 return
         self.progress_at = read_clock()
         self.send_continue()
         self.start_pending()
         self.resume_reading()
 
+    def end_writing(self):
+        """Close this side of the connection, and drop what the client still sends.
+
+        Closing a socket with unread requests resets the connection, which may cost the
+        client the answers that it has not read yet.
+        """
+        self.is_ended = self.is_closing = True
+        self.awaits_continue = False
+        self.pending.clear()
+        self.progress_at = read_clock()
+        if self.transport.is_closing():
+            return
+        self.transport.write_eof()
+        self.resume_reading()
+
     def is_last(self, item):
         """Return whether the connection closes after an answer.
 
@@ -337,9 +392,11 @@
 
     def check_time(self, now):
         """Close the connection if its client has been silent for too long."""
+        silent_s = now - self.progress_at
+        if self.is_closing and silent_s > LINGER_S:
+            self.transport.close()
         if self.is_ended or self.pending:
             return
-        silent_s = now - self.progress_at
         if not self.in_message:
             if silent_s > IDLE_S:
                 self.transport.close()
@@ -374,12 +431,12 @@
             connection.check_time(now)
 
 
-async def listen(handle, settings, address, port):
+async def listen(handle, settings, address, port, repeated_header=""):
     """Serve HTTP on one port and return (server, listener); see `Server`.
 
     `check_connections` is to run as long as the listener is open.
     """
-    server = Server(handle, settings)
+    server = Server(handle, settings, repeated_header)
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(
         lambda: ServerConnection(server),
