Reset connections in the proxy where it says so

A proxy of the stand-ins forwarded a reset as an orderly end, since abort() sends no reset unless unread bytes wait.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -24,6 +24,7 @@
     LimitedServer,
     change_values,
     read_json_object,
+    reset_connection,
     start_server,
     wait_for_stop,
 )
@@ -131,7 +132,7 @@
             if reading.done() and not reading.cancelled() and not reading.exception():
                 target_writer.close()
             else:
-                target_writer.transport.abort()
+                reset_connection(target_writer.transport)
 
 
 def make_connection_handler(pair):
@@ -150,7 +151,7 @@
             writer.close()
         except* (OSError, RuntimeError):
             # A reset on one side is forwarded as a reset to the other.
-            writer.transport.abort()
+            reset_connection(writer.transport)
         finally:
             pair.transports.discard(writer.transport)
 
@@ -172,7 +173,7 @@
         pair.server.close()
         pair.server = None
     for transport in list(pair.transports):
-        transport.abort()
+        reset_connection(transport)
 
 
 async def change_pair(pair, changes):
