Keep the signal handlers of a daemon until its process ends

Callers of a daemon that was stopping lost their answers if a second signal came: the handlers were removed once SIGTERM had been read, so that the next SIGTERM or SIGHUP ended the process. A SIGHUP also ended a daemon that was still starting.

A task now keeps the handlers until the end, for both daemons, and the sidecar ignores SIGHUP before its handler is there. Both new tests fail on the code before.

--- a/egretlift/daemon/main.py
+++ b/egretlift/daemon/main.py
@@ -1,7 +1,6 @@
 """Entry point of ``egretliftd``."""
 
 import os
-import signal
 import sys
 import time
 
@@ -39,6 +38,7 @@
 from egretlift.idempotency import delete_expired_record, delete_expired_records
 from egretlift.platform.client import PlatformClient
 from egretlift.settings import parse_settings
+from egretlift.signals import handle_signals
 from egretlift.transport.control import (
     ControlHandlers,
     close_channels,
@@ -92,13 +92,6 @@
             delete_expired_record(board.ledger, now, *key)
 
 
-async def wait_for_signal(board):
-    """Return when the process receives SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
-
-
 async def drain(board, ports):
     """Stop gracefully: finish every request that is in flight.
 
@@ -196,7 +189,9 @@
             tasks.start_soon(serve_operators, board)
             for controller in CONTROLLERS:
                 tasks.start_soon(keep_running, board, controller)
-            await wait_for_signal(board)
+            stop = anyio.Event()
+            await tasks.start(handle_signals, stop)
+            await stop.wait()
             await drain(board, ports)
             board.stop.set()
             await anyio.sleep(0)
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -1,8 +1,8 @@
 """Entry point of the sidecar daemon: ``python -m egretlift.sidecar``."""
 
+import functools
 import gc
 import os
-import signal
 import sys
 from pathlib import Path
 
@@ -33,6 +33,7 @@
     forget_hosts,
     keep_entry,
 )
+from egretlift.signals import handle_signals
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.http_server import (
     cancel_pending,
@@ -137,16 +138,6 @@
     board.log_change("settings-reloaded", heartbeat_s=board.settings.heartbeat_s)
 
 
-async def wait_for_stop(board):
-    """Wait for SIGTERM or SIGINT; reload the settings on SIGHUP."""
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*numbers) as signals:
-        async for number in signals:
-            if number != signal.SIGHUP:
-                return
-            reload_settings(board)
-
-
 async def drain(board, servers):
     """Stop gracefully: accept requests for a while, then finish the open ones.
 
@@ -222,7 +213,11 @@
             # Objects made so far live until the end: exempt them from collection.
             gc.collect()
             gc.freeze()
-            await wait_for_stop(board)
+            stop = anyio.Event()
+            await tasks.start(
+                handle_signals, stop, functools.partial(reload_settings, board)
+            )
+            await stop.wait()
             await drain(board, [server for server, _ in ports])
             await remove_entry(board)
             for _, listener in ports:
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -21,6 +21,13 @@
     asyncio.run(run())
 
 
+def has_signal(pid, field, number):
+    """Return whether a signal is in a mask of a process, such as ``SigIgn``."""
+    text = Path(f"/proc/{pid}/status").read_text()
+    (line,) = [line for line in text.splitlines() if line.startswith(field)]
+    return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+
+
 class TestRequests(unittest.TestCase):
     """Checks what reaches upstreams and which answers callers get."""
 
@@ -314,6 +321,41 @@
 
         run_mesh(scenario)
 
+    def test_further_signals_during_a_stop(self):
+        """Guards against requests that a second signal cuts off (LOST)."""
+
+        async def scenario(mesh):
+            first = mesh.sidecars[0]
+            first.upstream.behaviour = "slow"
+            asked = asyncio.create_task(mesh.ask(first))
+            await asyncio.sleep(0.1)
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                first.signal(number)
+                await asyncio.sleep(0.1)
+            self.assertEqual((await asked)[0], 200)
+            self.assertEqual(await asyncio.wait_for(first.process.wait(), 6), 0)
+
+        run_mesh(scenario)
+
+    def test_reload_signal_while_starting(self):
+        """Guards against a daemon that a SIGHUP ends while it starts."""
+
+        async def scenario(mesh):
+            first = mesh.sidecars[0]
+            first.signal(signal.SIGKILL)
+            await first.process.wait()
+            first.process = await first.start(mesh.folder.name)
+            pid = first.process.pid
+            while not (is_ignored := has_signal(pid, "SigIgn", signal.SIGHUP)):
+                if has_signal(pid, "SigCgt", signal.SIGHUP):
+                    break
+                await asyncio.sleep(0.002)
+            self.assertTrue(is_ignored)
+            first.signal(signal.SIGHUP)
+            await mesh.wait_until_ready(first)
+
+        run_mesh(scenario)
+
     def test_calls_of_an_upstream_during_a_stop(self):
         """Guards against requests that fail because their calls come late in a stop."""
 
