--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of what one more member, object, call or exchange costs a daemon."""
--- a/bench/tests/test_slopes.py
+++ b/bench/tests/test_slopes.py
@@ -4,7 +4,9 @@
 
 from nose2.tools import params
 
-from bench.slopes import fit_slope, make_member, simulate_spread
+from bench.slopes.fit import fit_slope
+from bench.slopes.records import make_member
+from bench.slopes.spread import simulate_spread
 from egretlift.membership.table import check_member, encode_member
 
 
