--- a/egretlift/transport/tests/test_pipelining.py
+++ b/egretlift/transport/tests/test_pipelining.py
@@ -4,12 +4,18 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 import uvloop
 
 from egretlift.settings import Settings
+from egretlift.transport import http_server
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import cancel_pending, listen
+from egretlift.transport.http_server import (
+    cancel_pending,
+    check_connections,
+    listen,
+)
 
 WORK_S = 0.15
 
@@ -34,7 +40,8 @@
 
         The client aborts the connection after ``abort_after_s`` seconds unless None.
         """
-        _, listener = await listen(self.handle, Settings(), "127.0.0.1", 0)
+        server, listener = await listen(self.handle, Settings(), "127.0.0.1", 0)
+        checks = asyncio.create_task(check_connections(server))
         endpoint = listener.sockets[0].getsockname()
         reader, writer = await asyncio.open_connection(*endpoint)
         writer.write(data)
@@ -51,6 +58,7 @@
                         received += chunk
             except TimeoutError:
                 pass
+        checks.cancel()
         writer.close()
         listener.close()
         return received
@@ -216,6 +224,29 @@
                                 self.assertTrue(body.startswith(unknown), body)
                                 self.assertTrue("raise" in path or not is_begun)
 
+    def test_body_that_stops(self):
+        """Guards against status 408 in front of the answers to earlier requests."""
+        for name, ahead in (
+            ("alone", []),
+            ("behind one", ["/a"]),
+            ("behind many", ["/a", "/fast", "/b"]),
+        ):
+            for loop, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+                with self.subTest(name, loop=loop):
+                    server = Server()
+                    data = b"".join(encode("GET", path) for path in ahead)
+                    data += encode("POST", "/never", "Content-Length: 9\r\n") + b"x"
+                    with (
+                        mock.patch.object(http_server, "BODY_GAP_S", WORK_S / 2),
+                        mock.patch.object(http_server, "CHECK_INTERVAL_S", WORK_S / 9),
+                    ):
+                        received = run(server.exchange(data))
+                    *answers, last = read_paths(received)
+                    self.assertEqual(answers, ahead)
+                    self.assertIn("body-too-slow", last)
+                    self.assertEqual(received.count(b"HTTP/1.1 408"), 1)
+                    self.assertNotIn("/never", server.began)
+
 
 if __name__ == "__main__":
     unittest.main()
