--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -73,7 +73,10 @@
         ``serve``: answers at once. ``slow``: answers late. ``reset``: executes,
         then resets the connection. ``full``: refuses without execution. ``fail``:
         answers with status 500. ``call``: makes one call through its daemon, except on
-        paths under ``/inner/``, and fails if that call fails.
+        paths under ``/inner/``, and fails if that call fails. ``stutter``: answers, and
+        writes the answer once more when the next request of the connection comes.
+    late : dict
+        Bytes of the late second answer by connection.
     rate_limit : float or None
         Requests a second that its answers state as its limit, None for no limit.
     is_leaving : bool
@@ -93,6 +96,7 @@
         self.slow_s = 0.5
         self.call_after_s = 0.9
         self.behaviour = "serve"
+        self.late = {}
         self.rate_limit = None
         self.is_leaving = False
         self.beats = 0
@@ -105,6 +109,7 @@
         A request for another instance gets 421.
         """
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        request.transport.write(self.late.pop(request.transport, b""))
         if self.rate_limit is not None:
             headers["Server-Limit"] = str(self.rate_limit)
         if self.is_leaving:
@@ -126,6 +131,8 @@
             failed = await self.make_call(request) != 200
         headers["X-Server-Seal"] = self.upstream_id
         status = 500 if failed else 200
+        if self.behaviour == "stutter":
+            self.late[request.transport] = encode_answer(request.path, headers)
         return web.Response(status=status, text=request.path, headers=headers)
 
     async def make_call(self, request):
@@ -146,6 +153,13 @@
             return response.status
 
 
+def encode_answer(text, headers):
+    """Return the bytes of a successful answer."""
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = ["HTTP/1.1 200 OK", *lines, f"Content-Length: {len(text)}", "", text]
+    return "\r\n".join(head).encode()
+
+
 class Sidecar:
     """Process, settings and upstream of one sidecar daemon.
 
