Report a refused document as a failed exchange

A daemon that refuses a request for a document, as it was meant for another host, gives no document that could be invalid.

--- a/egretlift/sidecar/documents.py
+++ b/egretlift/sidecar/documents.py
@@ -3,6 +3,7 @@
 import json
 
 from egretlift.serving.peer_requests import exchange_with_peer
+from egretlift.transport.exchange import ExchangeBroken
 
 
 async def read_document(board, peer, target, timeout_s):
@@ -11,11 +12,12 @@
     Raises
     ------
     NotSent, ExchangeBroken
-        The daemon is unreachable, or the connection broke before the whole answer.
+        The daemon is unreachable, the connection broke before the whole answer, or the
+        daemon refused the request, which was then meant for another host.
     TimeoutError
         There was no answer within ``timeout_s`` seconds.
     ValueError
-        The answer is a refusal, or not JSON.
+        The answer is not JSON.
     """
     entry = peer.entry
     request = ("GET", target, [("Host", entry.address)], b"")
@@ -23,5 +25,5 @@
     if received is None:
         raise TimeoutError(f"no answer of {entry.host} in {timeout_s} s")
     if received.status != 200:
-        raise ValueError(f"{entry.host} answered with status {received.status}")
+        raise ExchangeBroken(f"{entry.host} answered with status {received.status}")
     return json.loads(received.body)
