Read the valid objects of a list that contains an odd one

Callers saw daemons that no longer followed the store, so that new configurations and hosts were not known there: a list or a watch with one object that another writer had left could not be read, again and again.

Cause: the answer of the store was parsed as a whole, with ValueError as the only expected error. An object nested 5,000 deep raised RecursionError, which ended the task that follows the store; it was restarted a second later and ended again. A number of 5,000 digits, or bytes that are not UTF-8, made the answer "no list". A revision of 1e999 raised OverflowError, and an item without a name at the end of a page TypeError.

Documents are now parsed by egretlift.documents: values nested too deeply become NaN and long whole numbers floats, both of which the checks of values reject, and in documents with entries of several writers damaged strings are accepted. The rest of the list is read.

--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's metadata store."""
 
-import json
 import socket
 import sys
 
@@ -13,7 +12,17 @@
 
 import httpx  # noqa: E402
 
-from egretlift.errors import ConflictError, PlatformUnavailable  # noqa: E402
+from egretlift.documents import (  # noqa: E402
+    is_integer,
+    is_text,
+    parse_document,
+    parse_integer,
+)
+from egretlift.errors import (  # noqa: E402
+    ConflictError,
+    ObjectInvalid,
+    PlatformUnavailable,
+)
 from egretlift.platform import names  # noqa: E402
 
 CALL_TIMEOUT_S = 1.5
@@ -46,15 +55,57 @@
 
 
 def decode_object(item, deleted=False):
-    """Return the object in an item of a list or an event, None if malformed."""
+    """Return the object in an answer of the store, None if malformed.
+
+    The spec is not checked; a missing one is returned as an empty dict.
+    """
     try:
-        metadata = item["metadata"]
-        revision = int(metadata["revision"])
-        return StoredObject(
-            metadata["name"], revision, None if deleted else item["spec"]
-        )
-    except (KeyError, TypeError, ValueError):
+        name, revision = item["metadata"]["name"], item["metadata"]["revision"]
+    except (KeyError, TypeError):
+        return None
+    if isinstance(revision, str):
+        revision = parse_integer(revision)
+    if not is_text(name) or not is_integer(revision, 0):
         return None
+    spec = item.get("spec")
+    return StoredObject(
+        name, revision, None if deleted else {} if spec is None else spec
+    )
+
+
+def decode_item(item, deleted=False):
+    """Return the object in an item of a list or a watch, without a name if malformed.
+
+    The caller can then log and count it.
+    """
+    return decode_object(item, deleted) or StoredObject("", 0, {})
+
+
+def decode_event(event):
+    """Return the object in an event of a watch; see `decode_item`."""
+    if not isinstance(event, dict):
+        return decode_item(None)
+    return decode_item(event.get("object"), bool(event.get("deleted")))
+
+
+def read_items(document, name):
+    """Return the list of a name in a document of the store, [] if there is none."""
+    items = document.get(name)
+    return items if isinstance(items, list) else []
+
+
+def read_revision(document, default=None):
+    """Return the store's revision in a document.
+
+    Raises
+    ------
+    PlatformUnavailable
+        It is no whole number, so that no watch can start from it.
+    """
+    revision = document.get("as_of", default)
+    if not is_integer(revision, 0):
+        raise PlatformUnavailable(f"store: as_of is {revision!r:.100}", REMEDY)
+    return revision
 
 
 class StoreClient:
@@ -140,14 +191,14 @@
             status, document = await self.send("GET", make_kind_path(kind), query=query)
             if status != 200 or not isinstance(document, dict):
                 raise PlatformUnavailable(f"store: no list of {kind}", REMEDY)
-            items = document.get("items") or []
-            objects.extend(found for item in items if (found := decode_object(item)))
+            page = [decode_item(item) for item in read_items(document, "items")]
+            objects.extend(page)
             # The first page's revision: a watch from it also returns the changes made
             # between two pages.
-            as_of = document.get("as_of") if as_of is None else as_of
-            if not document.get("has_more") or not items:
+            as_of = read_revision(document) if as_of is None else as_of
+            if not document.get("has_more") or not page:
                 return as_of, objects
-            query = {**fixed, "after": items[-1]["metadata"]["name"]}
+            query = {**fixed, "after": find_last_name(page, query.get("after"), kind)}
 
     async def watch(self, kind, after, allow_stale=False):
         """Return (revision, objects) that changed after a revision.
@@ -172,12 +223,8 @@
             raise HistoryGone
         if status != 200 or not isinstance(document, dict):
             raise PlatformUnavailable(f"store: no watch of {kind}", REMEDY)
-        objects = []
-        for event in document.get("events") or []:
-            found = decode_object(event.get("object"), bool(event.get("deleted")))
-            if found:
-                objects.append(found)
-        return document.get("as_of", after), objects
+        objects = [decode_event(event) for event in read_items(document, "events")]
+        return read_revision(document, after), objects
 
     async def get_object(self, kind, name):
         """Return an object, None if it does not exist or is malformed."""
@@ -233,9 +280,24 @@
     return f"{names.OBJECTS_PATH}{kind}"
 
 
+def find_last_name(page, after, kind):
+    """Return the last name on a page of a list, from which the next page continues.
+
+    Raises
+    ------
+    PlatformUnavailable
+        No item has a name that differs from ``after``, the name that the page
+        continued from; the list would never end.
+    """
+    names = [found.name for found in page if found.name and found.name != after]
+    if not names:
+        raise PlatformUnavailable(f"store: a page of {kind} has no names", REMEDY)
+    return names[-1]
+
+
 def decode_document(response):
     """Return the JSON document in an answer, None if it cannot be parsed."""
     try:
-        return json.loads(response.content)
-    except ValueError:
+        return parse_document(response.content, is_shared=True)
+    except ObjectInvalid:
         return None
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -52,6 +52,16 @@
         """Write an object unconditionally, as operators do."""
         self.change(kind, name, spec, deleted=False)
 
+    def put_text(self, kind, name, text):
+        """Write an object that answers contain as the given bytes, valid or not.
+
+        Another writer may leave such an object. ``REVISION`` in the bytes stands for
+        the object's revision.
+        """
+        item = self.change(kind, name, {}, deleted=False)
+        revision = str(item["metadata"]["revision"]).encode()
+        item["text"] = text.replace(b"REVISION", revision)
+
     def change(self, kind, name, spec, deleted):
         """Apply a change, add it to the history and wake the watches."""
         self.revision += 1
@@ -89,7 +99,7 @@
     def get(self, kind, name):
         """Answer with one object, or with 404 if it does not exist."""
         item = self.objects.get((kind, name))
-        return web.json_response(item, status=200 if item else 404)
+        return make_answer(encode_item(item), status=200 if item else 404)
 
     def list(self, kind, after):
         """Answer with one page of a kind's objects, sorted by name, from ``after`` on.
@@ -97,9 +107,11 @@
         The object named ``after`` itself is left out.
         """
         names = sorted(n for k, n in self.objects if k == kind and n > after)
-        items = [self.objects[kind, name] for name in names[:PAGE_SIZE]]
-        return web.json_response(
-            {"items": items, "has_more": len(names) > PAGE_SIZE, "as_of": self.revision}
+        items = [encode_item(self.objects[kind, name]) for name in names[:PAGE_SIZE]]
+        has_more = json.dumps(len(names) > PAGE_SIZE).encode()
+        return make_answer(
+            b'{"items": [%s], "has_more": %s, "as_of": %d}'
+            % (b", ".join(items), has_more, self.revision)
         )
 
     async def watch(self, kind, request):
@@ -112,14 +124,17 @@
             if after + 1 < self.oldest:
                 return web.json_response({"error": "gone"}, status=410)
             events = [
-                {"object": item, "deleted": deleted}
+                b'{"object": %s, "deleted": %s}'
+                % (encode_item(item), json.dumps(deleted).encode())
                 for revision, k, item, deleted in self.history
                 if k == kind and revision > after
             ]
             remaining_s = deadline - asyncio.get_running_loop().time()
             if events or remaining_s <= 0 or self.fault:
-                body = {"events": events, "as_of": self.revision}
-                return web.json_response(body)
+                return make_answer(
+                    b'{"events": [%s], "as_of": %d}'
+                    % (b", ".join(events), self.revision)
+                )
             self.changed.clear()
             try:
                 await asyncio.wait_for(self.changed.wait(), remaining_s)
@@ -139,12 +154,12 @@
         current = self.objects.get((kind, name))
         wanted = metadata.get("revision") or request.query.get("revision")
         if method == "POST" and current:
-            return web.json_response(current, status=409)
+            return make_answer(encode_item(current), status=409)
         if method != "POST" and not current:
             return web.json_response({"error": "absent"}, status=404)
         is_stale = wanted and current and int(wanted) != current["metadata"]["revision"]
         if method != "POST" and is_stale:
-            return web.json_response(current, status=409)
+            return make_answer(encode_item(current), status=409)
         deleted = method == "DELETE"
         if current and not deleted and current["spec"] == document.get("spec"):
             return web.json_response(current)
@@ -152,6 +167,16 @@
         return web.json_response(item)
 
 
+def encode_item(item):
+    """Return an object as the bytes in which answers contain it."""
+    return (item and item.get("text")) or json.dumps(item).encode()
+
+
+def make_answer(body, status=200):
+    """Return an answer with bytes that are meant to be JSON."""
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
 async def serve_metastore(store, port):
     """Serve a store on a port of 127.0.0.1 and return its runner."""
     runner = web.ServerRunner(web.Server(store.handle), shutdown_timeout=0.1)
