Reject entries of hosts with values out of range, and log each once

Callers saw hosts that stayed unknown, or a daemon that stopped to report and to call others, after another writer had left one odd entry among those of the hosts.

Cause: an entry was checked for the types of its values only. A port of 70000, -1 or 10**30 passed and raised OverflowError where a datagram was sent or a connection opened; a name with a lone surrogate raised UnicodeEncodeError where owners of rates are computed. An invalid entry was logged at every read, and forwarded to all daemons of the zone as it was. An entry under the name of one host with the content of another replaced that one, or made the daemon a peer of itself. A datagram or list with one malformed item was thrown away as a whole.

Ports, addresses, numbers and texts are now checked for their range; an entry must be stored under its host's name. An invalid entry is logged once for each revision and counted (invalid_entries), isn't forwarded, and leaves what is known of its host as it is. A daemon whose own entry was overwritten by an invalid one writes it again.

--- a/egretlift/documents.py
+++ b/egretlift/documents.py
@@ -6,6 +6,7 @@
 of the entry then rejects.
 """
 
+import ipaddress
 import json
 import re
 
@@ -34,7 +35,8 @@
     data : bytes
     is_shared : bool
         Whether the document contains entries of several writers. Bytes that are not
-        UTF-8 and control characters in strings are then accepted too.
+        UTF-8 and control characters in strings are then accepted too; such strings
+        do not satisfy `is_text`.
 
     Raises
     ------
@@ -46,7 +48,7 @@
     [inf, [[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[nan]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]], 'a']
     """
     try:
-        text = data.decode("utf-8-sig", "replace" if is_shared else "strict")
+        text = data.decode("utf-8-sig", "surrogateescape" if is_shared else "strict")
         return json.loads(
             replace_deep_values(text), parse_int=read_integer, strict=not is_shared
         )
@@ -105,6 +107,20 @@
     return is_integer(value, 1, PORT_MAXIMUM)
 
 
+def is_address(value):
+    """Return whether a JSON value is an IP address; a name would have to be resolved.
+
+    Examples
+    --------
+    >>> is_address("10.0.0.2"), is_address("localhost"), is_address(7)
+    (True, False, False)
+    """
+    try:
+        return isinstance(value, str) and bool(ipaddress.ip_address(value))
+    except ValueError:
+        return False
+
+
 def is_text(value):
     r"""Return whether a JSON value is a text of printable characters.
 
--- a/egretlift/load.py
+++ b/egretlift/load.py
@@ -1,5 +1,7 @@
 """Load of an upstream, and the text in which daemons report it to each other."""
 
+from egretlift.documents import parse_integer
+
 
 class Load:
     """Load of an upstream as measured by its daemon.
@@ -66,18 +68,20 @@
 
 
 def decode_load(text):
-    """Return the load in a text, None if the text is not a valid load."""
-    try:
-        running, limit, queued, duration_ms, *rest = map(int, text.split())
-    except (AttributeError, ValueError):
+    """Return the load in a value, None if it is no text with a valid load."""
+    if not isinstance(text, str):
+        return None
+    numbers = [parse_integer(part) for part in text.split()]
+    if None in numbers or len(numbers) not in (4, 6):
         return None
-    if limit < 1 or min(running, queued, duration_ms) < 0:
+    running, limit, queued, duration_ms, *rest = numbers
+    if limit < 1:
         return None
     if not rest:
         return Load(running, limit, queued, duration_ms / 1000)
-    if len(rest) != 2 or rest[0] < 1 or rest[1] < 0:
-        return None
     rate, start_delay_ms = rest
+    if rate < 1:
+        return None
     return Load(
         running, limit, queued, duration_ms / 1000, rate / 1000, start_delay_ms / 1000
     )
--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -5,6 +5,13 @@
 known from their entries in the store, from rare reports and from the outcome of calls.
 """
 
+from egretlift.documents import (
+    is_address,
+    is_integer,
+    is_number,
+    is_port,
+    is_text,
+)
 from egretlift.errors import ObjectInvalid
 from egretlift.load import decode_load, encode_load
 from egretlift.membership.upstream import READY
@@ -24,9 +31,36 @@
 EJECTION_DOUBLINGS_MAXIMUM = 3
 # The entry of a host that has not reported for this long is deleted from the store.
 ENTRY_RETENTION_S = 600.0
+# An upstream that states more slots than this is misread rather than large.
+SLOTS_MAXIMUM = 1_000_000
 REMEDY = "send the fields of a host with their types"
 
 
+def is_optional_text(value):
+    """Return whether a value is a text that may be empty."""
+    return value == "" or is_text(value)
+
+
+def is_count(value):
+    """Return whether a value is a whole number that is not negative."""
+    return is_integer(value, 0)
+
+
+def is_not_negative(value):
+    """Return whether a value is a number that is not negative."""
+    return is_number(value, 0)
+
+
+def is_slot_count(value):
+    """Return whether a value is a possible number of slots, 0 for none known."""
+    return is_integer(value, 0, SLOTS_MAXIMUM)
+
+
+def is_flag(value):
+    """Return whether a value is a boolean; 0 and 1 are not."""
+    return isinstance(value, bool)
+
+
 class HostEntry:
     """Description of a host and its upstream, as published by the host's daemon.
 
@@ -43,20 +77,20 @@
     """
 
     FIELDS = (
-        ("host", str),
-        ("zone", str),
-        ("service", str),
-        ("address", str),
-        ("peer_port", int),
-        ("report_port", int),
-        ("upstream_id", str),
-        ("state", str),
-        ("born", int | float),
-        ("sequence", int | float),
-        ("slots", int),
-        ("boot", str),
-        ("counter", int),
-        ("stopping", bool),
+        ("host", is_text),
+        ("zone", is_text),
+        ("service", is_text),
+        ("address", is_address),
+        ("peer_port", is_port),
+        ("report_port", is_port),
+        ("upstream_id", is_optional_text),
+        ("state", is_text),
+        ("born", is_not_negative),
+        ("sequence", is_not_negative),
+        ("slots", is_slot_count),
+        ("boot", is_text),
+        ("counter", is_count),
+        ("stopping", is_flag),
     )
     __slots__ = tuple(name for name, _ in FIELDS)
 
@@ -76,14 +110,13 @@
     Raises
     ------
     ObjectInvalid
-        If a value is missing or has the wrong type.
+        If a value is missing, has the wrong type or is out of range.
     """
     if not isinstance(values, list) or len(values) != len(HostEntry.FIELDS):
         raise ObjectInvalid(f"host entry {values!r:.200}", REMEDY)
-    for (name, kind), value in zip(HostEntry.FIELDS, values, strict=True):
-        # A boolean is an int in Python, but no port, counter or number of slots.
-        if not isinstance(value, kind) or (kind is not bool and type(value) is bool):
-            raise ObjectInvalid(f"host entry: {name} is {value!r}", REMEDY)
+    for (name, is_valid), value in zip(HostEntry.FIELDS, values, strict=True):
+        if not is_valid(value):
+            raise ObjectInvalid(f"host entry: {name} is {value!r:.100}", REMEDY)
     names = HostEntry.__slots__
     return HostEntry(**dict(zip(names, values, strict=True)))
 
@@ -132,6 +165,7 @@
 
 # Values that stand for the entry in a short report: host, boot and counter.
 REFERENCE_FIELDS = 3
+REPORT_FIELDS = 5
 
 
 def encode_report(report, is_short=False):
@@ -159,17 +193,17 @@
     ObjectInvalid
         If the value is not a valid report.
     """
-    try:
-        values, number, version, load, store_served = document
-        number, version = int(number), int(version)
-        is_short = len(values) == REFERENCE_FIELDS
-    except (TypeError, ValueError) as error:
-        raise ObjectInvalid(f"report: {error!r}", REMEDY) from error
+    if not isinstance(document, list) or len(document) != REPORT_FIELDS:
+        raise ObjectInvalid(f"report: {document!r:.200}", REMEDY)
+    values, number, version, load, store_served = document
+    if not is_integer(number) or not is_integer(version):
+        raise ObjectInvalid(f"report: number and version are {document[1:3]!r}", REMEDY)
     found = decode_load(load)
     if found is None:
-        raise ObjectInvalid(f"report: load is {load!r}", REMEDY)
-    if store_served not in (None, True, False):
-        raise ObjectInvalid(f"report: store is {store_served!r}", REMEDY)
+        raise ObjectInvalid(f"report: load is {load!r:.100}", REMEDY)
+    if store_served is not None and not is_flag(store_served):
+        raise ObjectInvalid(f"report: store is {store_served!r:.100}", REMEDY)
+    is_short = isinstance(values, list) and len(values) == REFERENCE_FIELDS
     entry = decode_entry_reference(values) if is_short else decode_entry(values)
     report = Report(entry, number, version, found, store_served)
     if is_short:
@@ -191,9 +225,7 @@
 def decode_entry_reference(values):
     """Return the ``EntryReference`` in the values of a short report."""
     host, boot, counter = values
-    if not (
-        isinstance(host, str) and isinstance(boot, str) and isinstance(counter, int)
-    ):
+    if not (is_text(host) and is_text(boot) and is_count(counter)):
         raise ObjectInvalid(f"report: sender is {values!r:.200}", REMEDY)
     return EntryReference(host, boot, counter)
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -83,6 +83,9 @@
         Sends datagrams to other daemons; None while the socket is closed.
     entry_missing : bool
         Whether this host's entry was removed from the store by another daemon.
+    invalid_entries : dict of str to int
+        Revision of each invalid entry that was logged, by the name in the store; see
+        `egretlift.sidecar.entries`.
     awaited_tokens : dict of str to Event
         For each organisation whose tokens are being requested: set when the request
         ends.
@@ -146,6 +149,7 @@
         "rate_owners",
         "zone_quotas",
         "hosts_listed",
+        "invalid_entries",
         "leaving",
         "log_counts",
         "open_requests",
@@ -223,6 +227,7 @@
         self.log_counts = {}
         self.entry_changed = anyio.Event()
         self.entry_missing = False
+        self.invalid_entries = {}
         self.entry_stored = anyio.Event()
         self.counter_stored = -1
         self.report_due = anyio.Event()
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -12,7 +12,6 @@
 from egretlift.errors import ConflictError, ObjectInvalid, PlatformUnavailable
 from egretlift.membership.followers import choose_followers, update_role
 from egretlift.membership.peers import (
-    decode_entry,
     encode_entry,
     find_abandoned,
     find_departed,
@@ -24,8 +23,13 @@
     CONFIGURATION_NAME,
     HOST_KIND,
 )
-from egretlift.platform.store import HistoryGone, StoredObject
+from egretlift.platform.store import HistoryGone
 from egretlift.sidecar.datagrams import HOSTS, encode_datagram, send_datagram
+from egretlift.sidecar.entries import (
+    decode_forwarded_entry,
+    decode_stored_entry,
+    record_invalid_entry,
+)
 
 # Pauses between failed calls to the store, in seconds: the first and the longest.
 BACKOFF_S = 0.1
@@ -80,27 +84,47 @@
 def apply_host_entry(board, found):
     """Apply a host's entry, or the removal of one, that was read or forwarded.
 
-    The entry of this host itself restores the state of its upstream after a restart.
+    Returns whether the entry is valid. An invalid one is logged and changes nothing
+    that is known of its host; this host replaces its own.
     """
     if found.spec is None:
         handle_removed_entry(board, found.name)
-        return
+        return True
     try:
-        entry = decode_entry(found.spec.get("entry"))
-    except (AttributeError, ObjectInvalid) as error:
-        board.log_change("entry-invalid", name=found.name, cause=str(error))
-        return
+        entry = decode_stored_entry(found)
+    except ObjectInvalid as error:
+        record_invalid_entry(board, found, error)
+        if found.name == board.settings.host:
+            replace_own_entry(board, found.revision)
+        return False
     if found.name == board.settings.host:
-        if found.revision:
-            board.own_revision = found.revision
-            board.own_entry = entry
-        if entry.boot != board.boot and restore_upstream(board.upstream, entry):
-            board.log_change("upstream-restored", state=entry.state)
-            refuse_waiting(board.slots, entry.state)
-            board.mark_entry_changed()
-        return
-    if board.register_host(entry, found.revision):
+        apply_own_entry(board, entry, found.revision)
+    elif board.register_host(entry, found.revision):
         board.log_change("host-learned", peer=entry.host, source="store")
+    return True
+
+
+def apply_own_entry(board, entry, revision):
+    """Restore the state of the upstream from this host's entry after a restart.
+
+    ``revision`` is that of the entry in the store, 0 if another daemon sent it.
+    """
+    if revision:
+        board.own_revision = revision
+        board.own_entry = entry
+    if entry.boot != board.boot and restore_upstream(board.upstream, entry):
+        board.log_change("upstream-restored", state=entry.state)
+        refuse_waiting(board.slots, entry.state)
+        board.mark_entry_changed()
+
+
+def replace_own_entry(board, revision):
+    """Write this host's entry again, in place of the invalid one of a revision."""
+    if revision and not board.stopping:
+        board.own_revision = revision
+        board.own_entry = None
+        board.entry_missing = True
+        board.entry_changed.set()
 
 
 def handle_removed_entry(board, name):
@@ -330,13 +354,12 @@
 
 
 def apply_newer_entries(board, objects):
-    """Apply the entries that are newer than the known ones, and return them."""
-    later = []
-    for found in objects:
-        if is_newer(board, found):
-            apply_host_entry(board, found)
-            later.append(found)
-    return later
+    """Apply the entries that are newer than the known ones; return the valid ones."""
+    return [
+        found
+        for found in objects
+        if is_newer(board, found) and apply_host_entry(board, found)
+    ]
 
 
 def apply_host_entries(board, objects, list_revision):
@@ -369,18 +392,14 @@
     Raises
     ------
     ObjectInvalid
-        ``values`` is not a list of one list of [revision, name, entry] items.
+        ``values`` is not a list of one list. Its items are [revision, name, entry];
+        of these, malformed ones are logged and left out.
     """
-    try:
-        (items,) = values
-        objects = [
-            StoredObject(str(name), int(revision), values and {"entry": values})
-            for revision, name, values in items
-        ]
-    except (TypeError, ValueError) as error:
+    is_list = isinstance(values, list) and len(values) == 1
+    if not is_list or not isinstance(values[0], list):
         remedy = "send revision, name and entry of each host"
-        raise ObjectInvalid(f"hosts: {error!r:.200}", remedy) from error
-    apply_newer_entries(board, objects)
+        raise ObjectInvalid(f"hosts: {values!r:.200}", remedy)
+    apply_newer_entries(board, [decode_forwarded_entry(item) for item in values[0]])
 
 
 def is_newer(board, found):
