Take an endpoint that no socket can use for one that does not answer

Callers got a failure of the daemon in place of an answer from another host when a known host had a port or address out of range, and the task that reports to other daemons ended at each turn.

Cause: opening a connection to such an endpoint raises OverflowError or ValueError (UnicodeError for a name with an empty label), which is neither OSError nor NotSent. uvloop raises nothing for a port of 70000 in a connection, but ValueError for a datagram to an address of another family than the socket's.

A connection now raises NotSent, and a datagram that cannot be sent is counted (datagrams_unsent).

--- a/egretlift/sidecar/datagrams.py
+++ b/egretlift/sidecar/datagrams.py
@@ -73,6 +73,11 @@
 
 def send_datagram(board, data, peer):
     """Send a datagram to another daemon, without a guarantee that it arrives."""
-    if board.datagrams is not None:
-        entry = peer.entry
+    if board.datagrams is None:
+        return
+    entry = peer.entry
+    try:
         board.datagrams.sendto(data, (entry.address, entry.report_port))
+    except ValueError:
+        # uvloop raises it for an address of another family than the socket's.
+        board.count("datagrams_unsent")
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -10,6 +10,7 @@
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, float("inf"))
 HELP = {
     "answers": "Answers given, by outcome and reason",
+    "datagrams_unsent": "Datagrams to hosts whose address no socket here can reach",
     "invalid_entries": "Invalid entries of hosts that were read",
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
--- a/egretlift/transport/exchange.py
+++ b/egretlift/transport/exchange.py
@@ -64,7 +64,7 @@
     ------
     NotSent
         The peer refused the connection, or did not accept it within
-        ``CONNECT_TIMEOUT_S``.
+        ``CONNECT_TIMEOUT_S``, or the endpoint has an invalid address or port.
     """
     loop = asyncio.get_running_loop()
     try:
@@ -72,10 +72,10 @@
             _, connection = await loop.create_connection(
                 lambda: Connection(pool.buffered), *endpoint
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, OverflowError, ValueError) as error:
         reason = type(error).__name__
         raise NotSent(
-            f"no connection to {endpoint[0]}:{endpoint[1]}: {reason}"
+            f"no connection to {endpoint[0]!s:.100}:{endpoint[1]}: {reason}"
         ) from error
     pool.opened += 1
     return connection
