Reject heartbeats with odd values by their one documented error

An upstream's sender, or another writer, got 500 instead of 400 for a heartbeat that is nested deeply or states 1e999 slots, and nothing in the log named it as an invalid heartbeat. One that states NaN, or an infinite or negative start time or sequence, was accepted: no later heartbeat of the upstream was newer than an infinite one, so that its draining would not be seen.

Cause: the decoder expected ValueError only, and checked types but no ranges.

Heartbeats are now read by egretlift.documents, with a range for each number and printable texts, and invalid ones are counted (invalid_heartbeats). Fields that are not read may be odd.

--- a/egretlift/platform/heartbeats.py
+++ b/egretlift/platform/heartbeats.py
@@ -1,17 +1,12 @@
 """Decoding of the heartbeats that upstreams send."""
 
-import json
-
-from egretlift.errors import AnnouncementInvalid
+from egretlift.documents import is_number, is_text, parse_document
+from egretlift.errors import AnnouncementInvalid, ObjectInvalid
+from egretlift.membership.peers import SLOTS_MAXIMUM
 from egretlift.membership.upstream import Announcement
 
 STATES = ("ready", "draining")
-REMEDY = "send the fields of a heartbeat with their types"
-
-
-def is_number(value):
-    """Return whether a JSON value is a number; booleans are not."""
-    return isinstance(value, int | float) and not isinstance(value, bool)
+REMEDY = "send the fields of a heartbeat with their types and in their range"
 
 
 def decode_heartbeat(upstream_id, body):
@@ -31,24 +26,23 @@
         be ignored.
     """
     try:
-        document = json.loads(body)
+        document = parse_document(body)
         texts = [document[name] for name in ("service", "address", "state")]
         slots, sequence = document["slots"], document["seq"]
         # "born" is the start time of the upstream's process in Unix milliseconds.
         born = document.get("born", 0)
-    except (ValueError, KeyError, TypeError) as error:
+    except (ObjectInvalid, AttributeError, KeyError, TypeError) as error:
         raise AnnouncementInvalid(
             f"heartbeat is malformed: {error!r}", REMEDY
         ) from error
     service, address, state = texts
-    well_typed = (
-        all(isinstance(text, str) and text for text in texts)
-        and all(is_number(value) for value in (slots, sequence, born))
+    is_valid = (
+        all(is_text(text) for text in (upstream_id, *texts))
+        and all(is_number(value, 0) for value in (sequence, born))
+        and is_number(slots, 1, SLOTS_MAXIMUM)
         and state in STATES
-        and slots >= 1
-        and upstream_id
     )
-    if not well_typed:
+    if not is_valid:
         raise AnnouncementInvalid(f"heartbeat of {upstream_id}: {body[:200]!r}", REMEDY)
     return Announcement(
         upstream_id, service, address, int(slots), state, born, sequence
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -46,6 +46,7 @@
     try:
         announcement = decode_heartbeat(upstream_id, request.body)
     except AnnouncementInvalid as error:
+        board.count("invalid_heartbeats")
         board.log_change("heartbeat-invalid", upstream=upstream_id, cause=str(error))
         return make_json_response({"error": str(error)}, 400)
     await process_heartbeat(board, announcement)
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -12,6 +12,7 @@
     "answers": "Answers given, by outcome and reason",
     "datagrams_unsent": "Datagrams to hosts whose address no socket here can reach",
     "invalid_entries": "Invalid entries of hosts that were read",
+    "invalid_heartbeats": "Heartbeats that were ignored because of an invalid value",
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
     "store_calls": "Calls to the store",
