Check the values in what daemons send to each other

Callers were refused for the rate, and hosts looked silent to each other, after one daemon had received an odd message: the owner of a rate could no longer compute its share, which ended the task that sends its reports, a second later again.

Cause: usage, tokens and requests for tokens were converted with int and float without a range. A number of 400 digits passed the conversion and raised OverflowError where the share is computed; a name with a lone surrogate raised UnicodeEncodeError where the owner is looked up; usage of one organisation that is no pair of numbers threw the usage of all others away; an answer could grant any number of tokens. A document that is nested deeply ended the task that fetches hosts and configurations, since RecursionError was not expected there.

Datagrams, documents and queries are now read by egretlift.documents, usage is checked by organisation, and a grant is believed up to the number that was asked for. Invalid datagrams are counted (invalid_datagrams).

--- a/egretlift/sidecar/datagrams.py
+++ b/egretlift/sidecar/datagrams.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 
+from egretlift.documents import parse_document
 from egretlift.errors import ObjectInvalid
 
 REPORT = "report"
@@ -33,10 +34,10 @@
     ObjectInvalid
         The data is no datagram of a known kind.
     """
-    try:
-        kind, values = json.loads(data)
-    except (TypeError, ValueError, RecursionError) as error:
-        raise ObjectInvalid(f"datagram: {error!r:.200}", REMEDY) from error
+    document = parse_document(data)
+    if not isinstance(document, list) or len(document) != 2:
+        raise ObjectInvalid(f"datagram: {document!r:.200}", REMEDY)
+    kind, values = document
     if kind not in (REPORT, RATES, HOSTS) or not isinstance(values, list):
         raise ObjectInvalid(f"datagram: kind is {kind!r:.100}", REMEDY)
     return kind, values
@@ -65,6 +66,7 @@
             kind, values = decode_datagram(data)
             self.handlers[kind](self.board, values)
         except ObjectInvalid as error:
+            self.board.count("invalid_datagrams")
             self.board.log_change("datagram-invalid", sender=address, cause=str(error))
 
     def error_received(self, error):
--- a/egretlift/sidecar/documents.py
+++ b/egretlift/sidecar/documents.py
@@ -1,7 +1,6 @@
 """JSON documents read from other daemons."""
 
-import json
-
+from egretlift.documents import parse_document
 from egretlift.transport.exchange import encode_request, exchange
 
 
@@ -14,7 +13,7 @@
         The daemon is unreachable, or the connection broke before the whole answer.
     TimeoutError
         There was no answer within ``timeout_s`` seconds.
-    ValueError
+    ObjectInvalid
         The answer is not JSON.
     """
     entry = peer.entry
@@ -25,4 +24,4 @@
     )
     if received is None:
         raise TimeoutError(f"no answer of {entry.host} in {timeout_s} s")
-    return json.loads(received.body)
+    return parse_document(received.body)
--- a/egretlift/sidecar/fetching.py
+++ b/egretlift/sidecar/fetching.py
@@ -63,7 +63,7 @@
     """Return a document of another daemon, None if it cannot be fetched."""
     try:
         document = await read_document(board, peer, path, FETCH_TIMEOUT_S)
-    except (NotSent, ExchangeBroken, TimeoutError, ValueError) as error:
+    except (NotSent, ExchangeBroken, TimeoutError, ObjectInvalid) as error:
         board.log_change("fetch-failed", peer=peer.entry.host, cause=repr(error))
         return None
     return document if isinstance(document, dict) else None
--- a/egretlift/sidecar/rates.py
+++ b/egretlift/sidecar/rates.py
@@ -3,6 +3,7 @@
 import anyio
 
 from egretlift.clock import read_clock
+from egretlift.documents import is_number, is_text
 from egretlift.errors import ObjectInvalid
 from egretlift.quotas.home import (
     make_zone_report,
@@ -14,6 +15,8 @@
 INTERVAL_S = 1.0
 # More organisations would not fit into one packet.
 ORGANISATIONS_PER_DATAGRAM = 40
+# Zone, sender, whether it was forwarded, and usage.
+USAGE_FIELDS = 4
 REMEDY = "send a zone, its home, whether it was forwarded, and usage by organisation"
 
 
@@ -115,21 +118,23 @@
 def decode_usage(values):
     """Return (zone, owner, whether it was forwarded, usage) from a decoded datagram.
 
-    Negative numbers and NaN count as 0.
+    Values that are no numbers, or negative, count as 0, and organisations without a
+    valid name or without two values are left out.
 
     Raises
     ------
     ObjectInvalid
     """
-    try:
-        zone, sender, is_forwarded, usage = values
-        usage = {
-            str(name): (max(0.0, float(demand)), max(0.0, float(tokens)))
-            for name, (demand, tokens) in usage.items()
-        }
-    except (AttributeError, TypeError, ValueError) as error:
-        raise ObjectInvalid(f"rates: {error!r:.200}", REMEDY) from error
-    named = isinstance(zone, str) and isinstance(sender, str)
-    if not named or not isinstance(is_forwarded, bool):
+    if len(values) != USAGE_FIELDS:
+        raise ObjectInvalid(f"rates: {values!r:.200}", REMEDY)
+    zone, sender, is_forwarded, usage = values
+    if not is_text(zone) or not is_text(sender) or not isinstance(is_forwarded, bool):
         raise ObjectInvalid(f"rates: zone is {zone!r:.100}", REMEDY)
-    return zone, sender, is_forwarded, usage
+    if not isinstance(usage, dict):
+        raise ObjectInvalid(f"rates: usage is {usage!r:.100}", REMEDY)
+    used = {
+        name: tuple(value if is_number(value, 0) else 0.0 for value in pair)
+        for name, pair in usage.items()
+        if is_text(name) and isinstance(pair, list) and len(pair) == 2
+    }
+    return zone, sender, is_forwarded, used
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -10,6 +10,8 @@
 import anyio
 
 from egretlift.clock import read_clock
+from egretlift.documents import is_number, parse_integer
+from egretlift.errors import ObjectInvalid
 from egretlift.membership.peers import eject
 from egretlift.quotas.home import (
     BORROW_BACKOFF_S,
@@ -40,6 +42,7 @@
 LOANS_PATH = "/egretlift/loans"
 TOKENS_TIMEOUT_S = 0.25
 LOAN_TIMEOUT_S = 0.1
+TOKENS_REMEDY = "answer with the tokens that are granted, or with null"
 
 
 async def take_token(board, name, rank, deadline):
@@ -155,29 +158,44 @@
     """
     host, target = peer.entry.host, f"{path}?{urlencode(query)}"
     try:
-        tokens = (await read_document(board, peer, target, timeout_s))["tokens"]
-        return None if tokens is None else float(tokens)
+        document = await read_document(board, peer, target, timeout_s)
+        return decode_tokens(document, float(query["wanted"]))
     except NotSent as error:
         eject(peer, read_clock())
         board.log_change("home-unreachable", peer=host, cause=str(error))
-    except (ExchangeBroken, TimeoutError, ValueError, KeyError, TypeError) as error:
+    except (ExchangeBroken, TimeoutError, ObjectInvalid) as error:
         board.log_change("tokens-not-given", peer=host, cause=repr(error))
     return None
 
 
+def decode_tokens(document, wanted):
+    """Return the tokens in the answer of another host, None if it grants none.
+
+    Raises
+    ------
+    ObjectInvalid
+        The answer has no number of tokens from 0 to ``wanted``.
+    """
+    tokens = document.get("tokens", "") if isinstance(document, dict) else ""
+    if tokens is None:
+        return None
+    if not is_number(tokens, 0, wanted):
+        raise ObjectInvalid(f"tokens are {tokens!r:.100}", TOKENS_REMEDY)
+    return float(tokens)
+
+
 async def answer_tokens(board, target):
     """Return the tokens that another host gets for its request.
 
     None if this host is not the owner, 0 if the request is malformed.
     """
     query = parse_qs(target.partition("?")[2])
-    try:
-        counted, rank = int(query["counted"][0]), int(query["rank"][0])
-        wanted = int(query["wanted"][0])
-    except (KeyError, ValueError):
-        return 0
+    counted, rank, wanted = (
+        parse_integer(query.get(name, [""])[0])
+        for name in ("counted", "rank", "wanted")
+    )
     organisation = find_organisation(board, query)
-    if organisation is None or wanted < 1 or counted < 0 or rank < 0:
+    if organisation is None or None in (counted, rank) or not wanted:
         return 0
     if board.find_owner(organisation.name) != board.settings.host:
         return None
