--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -59,6 +59,7 @@
     try:
         configuration = decode_configuration(document)
     except ObjectInvalid as error:
+        board.count("invalid_configurations")
         board.log_change("configuration-invalid", source=source, cause=str(error))
         return False
     current = board.configuration
