Keep the settings in force when the file has any odd value

A daemon ended by itself when SIGHUP came after its settings file had been changed to one that is nested deeply, or whose internal ports are texts or out of range; without SIGHUP the task that checks the file and closes idle connections ended each second.

Cause: reading the file raised RecursionError, TypeError or OverflowError, which the reload does not expect, in the task that waits for signals. NaN and infinite bounds were accepted, and ports of 70000 or -1, which no socket can be bound to.

The file is now read by egretlift.documents, with a range for each port, address and number; a window of 0 s, which rates are divided by, and a heartbeat interval of more than an hour are errors too.

--- a/egretlift/platform/bootfile.py
+++ b/egretlift/platform/bootfile.py
@@ -1,9 +1,16 @@
 """Decoding of the platform's settings file into the settings of a sidecar daemon."""
 
-import json
 from pathlib import Path
 
-from egretlift.errors import SettingError
+from egretlift.documents import (
+    is_address,
+    is_number,
+    is_port,
+    is_text,
+    parse_document,
+    parse_integer,
+)
+from egretlift.errors import ObjectInvalid, SettingError
 from egretlift.sidecar.settings import Bounds, SidecarSettings
 
 # Bounds that the file may omit, under the file's names and in its units.
@@ -19,35 +26,60 @@
     "quota_slack": 0.0,
     "config_apply_s": 2.0,
 }
+# Bounds that are divided by.
+WINDOWS = ("budget_window_s", "quota_window_s")
+WINDOW_MINIMUM_S = 0.001
 DEFAULT_HEARTBEAT_S = 1.5
+HEARTBEAT_MAXIMUM_S = 3600.0
 
 
 def read_endpoint(value, name, errors):
     """Return (address, port) from ``address:port``; add to ``errors`` if invalid."""
-    try:
+    if is_text(value):
         address, _, port = value.rpartition(":")
-        return address, int(port)
-    except (AttributeError, ValueError):
-        remedy = "give address:port in the settings file"
-        errors.append(SettingError(f"{name} is {value!r}", remedy))
-        return None
+        number = parse_integer(port)
+        if is_port(number):
+            return address, number
+    remedy = "give address:port in the settings file"
+    errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
+    return None
 
 
 def read_text(document, name, errors):
-    """Return a string field; add to ``errors`` if it is missing or empty."""
+    """Return a printable string; add to ``errors`` if it is missing or empty."""
     value = document.get(name)
-    if not isinstance(value, str) or not value:
+    if not is_text(value):
         remedy = "give a string that is not empty in the settings file"
-        errors.append(SettingError(f"{name} is {value!r}", remedy))
+        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
+    return value
+
+
+def read_address(document, name, errors):
+    """Return an IP address; add to ``errors`` if it is none."""
+    value = document.get(name)
+    if not is_address(value):
+        remedy = "give an IP address in the settings file"
+        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
     return value
 
 
+def read_ports(document, errors):
+    """Return the first and the last internal port; add to ``errors`` if invalid."""
+    ports = document.get("internal_ports")
+    is_pair = isinstance(ports, list) and len(ports) == 2
+    if is_pair and all(map(is_port, ports)) and ports[1] > ports[0]:
+        return ports
+    remedy = "give a list of the first and the last port"
+    errors.append(SettingError(f"internal_ports is {ports!r:.100}", remedy))
+    return [0, 0]
+
+
 def read_section(document, name, errors):
     """Return a section of the file, {} with an entry in ``errors`` if not a dict."""
     value = document.get(name)
     if not isinstance(value, dict):
         remedy = "give a JSON object in the settings file"
-        errors.append(SettingError(f"{name} is {value!r}", remedy))
+        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
         return {}
     return value
 
@@ -60,9 +92,9 @@
     value = document.get("heartbeat_s")
     if not value:
         return DEFAULT_HEARTBEAT_S
-    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
-        remedy = "give a number greater than 0 in the settings file"
-        errors.append(SettingError(f"heartbeat_s is {value!r}", remedy))
+    if not is_number(value, 0, HEARTBEAT_MAXIMUM_S):
+        remedy = "give a number of seconds, at most an hour, in the settings file"
+        errors.append(SettingError(f"heartbeat_s is {value!r:.100}", remedy))
         return DEFAULT_HEARTBEAT_S
     return float(value)
 
@@ -72,9 +104,10 @@
     values = {}
     for name, default in DEFAULT_BOUNDS.items():
         value = section.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-            remedy = "give a number that is not negative in the settings file"
-            errors.append(SettingError(f"bounds.{name} is {value!r}", remedy))
+        minimum = WINDOW_MINIMUM_S if name in WINDOWS else 0
+        if not is_number(value, minimum):
+            remedy = f"give a number of at least {minimum} in the settings file"
+            errors.append(SettingError(f"bounds.{name} is {value!r:.100}", remedy))
             value = default
         values[name] = float(value)
     return Bounds(
@@ -113,15 +146,11 @@
         document = {}
     listen = read_section(document, "listen", errors)
     platform = read_section(document, "platform", errors)
-    ports = document.get("internal_ports")
-    if not (isinstance(ports, list) and len(ports) == 2 and ports[1] > ports[0]):
-        remedy = "give a list of the first and the last port"
-        errors.append(SettingError(f"internal_ports is {ports!r}", remedy))
-        ports = [0, 0]
+    ports = read_ports(document, errors)
     settings = SidecarSettings(
         host=read_text(document, "node_name", errors),
         zone=read_text(document, "zone", errors),
-        address=read_text(document, "ip", errors),
+        address=read_address(document, "ip", errors),
         service=read_text(document, "service", errors),
         # The platform calls the port for callers on this machine "outbound". It does
         # not define the use of "inbound", on which the daemon serves other daemons.
@@ -151,8 +180,8 @@
         The file cannot be read, or see `decode_settings`.
     """
     try:
-        document = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
+        document = parse_document(Path(path).read_bytes())
+    except (OSError, ObjectInvalid, ValueError) as error:
         remedy = "give a readable JSON file"
         setting_error = SettingError(f"settings file {path}: {error}", remedy)
         raise ExceptionGroup("invalid settings", [setting_error]) from error
