Read no odd number from a header

A daemon beside an upstream that states a limit of 1e308 requests a second looked silent to the others: computing its load raised OverflowError in the task that sends its reports, a second later again. A caller's deadline of NaN was taken for one that no clock ever reaches, and a whole answer with a Keep-Alive of 400 digits was thrown away as malformed, so that its caller got a 502.

Cause: numbers in headers were converted by float or int, and their range was not checked, or only against infinity.

NaN is no deadline, a rate above a billion a second is no limit, and whole numbers in the headers of daemons and in Keep-Alive have 18 ASCII digits at most.

--- a/egretlift/load.py
+++ b/egretlift/load.py
@@ -2,6 +2,9 @@
 
 from egretlift.documents import parse_integer
 
+# A higher rate of an upstream is no limit; the text of a load could not hold it.
+RATE_MAXIMUM_PER_S = 10**9
+
 
 class Load:
     """Load of an upstream as measured by its daemon.
--- a/egretlift/membership/statements.py
+++ b/egretlift/membership/statements.py
@@ -7,6 +7,9 @@
 upstream that leaves.
 """
 
+from egretlift.documents import is_number
+from egretlift.load import RATE_MAXIMUM_PER_S
+
 # Upstreams whose statements are remembered, the ones last heard of.
 STATEMENTS_MAXIMUM = 1024
 NO_RATE = "-"
@@ -71,7 +74,10 @@
         rate_per_s = None if rate == NO_RATE else float(rate)
     except (AttributeError, ValueError):
         return None
-    if leaving not in ("0", "1") or not (rate_per_s is None or rate_per_s > 0):
+    if leaving not in ("0", "1"):
+        return None
+    is_rate = is_number(rate_per_s, 0, RATE_MAXIMUM_PER_S) and rate_per_s > 0
+    if rate_per_s is not None and not is_rate:
         return None
     return Statement(upstream, rate_per_s, leaving == "1")
 
--- a/egretlift/platform/requests.py
+++ b/egretlift/platform/requests.py
@@ -4,8 +4,8 @@
 of name and value as received.
 """
 
-import math
-
+from egretlift.documents import is_number
+from egretlift.load import RATE_MAXIMUM_PER_S
 from egretlift.platform import names
 from egretlift.transport.messages import HOP_BY_HOP
 
@@ -43,13 +43,23 @@
     """Return the time limit of a request in seconds, None if missing or no number.
 
     It is at least 0 and at most ``MAXIMUM_DEADLINE_MS``.
+
+    Examples
+    --------
+    >>> read_deadline_s({"x-deadline-ms": "1500"}), read_deadline_s({})
+    (1.5, None)
     """
-    text = fields.get(DEADLINE_FIELD, "")
+    value = read_float(fields.get(DEADLINE_FIELD, ""))
+    return None if value is None else min(max(value, 0.0), MAXIMUM_DEADLINE_MS) / 1000
+
+
+def read_float(text):
+    """Return the number in a text, None if there is none; NaN is none."""
     try:
         value = float(text)
     except ValueError:
         return None
-    return min(max(value, 0.0), MAXIMUM_DEADLINE_MS) / 1000
+    return None if value != value else value
 
 
 def read_key(fields):
@@ -109,18 +119,15 @@
 def read_rate_limit(fields):
     """Return the rate limit that an upstream states, in requests a second, or None.
 
-    None stands for no limit, and for a value that is no decimal number.
+    None stands for no limit, and for a value that is no decimal number or too large.
 
     Examples
     --------
     >>> read_rate_limit({"server-limit": "10.4"}), read_rate_limit({})
     (10.4, None)
     """
-    try:
-        rate_per_s = float(fields[RATE_LIMIT_FIELD])
-    except (KeyError, ValueError):
-        return None
-    return rate_per_s if 0 <= rate_per_s < math.inf else None
+    rate_per_s = read_float(fields.get(RATE_LIMIT_FIELD, ""))
+    return rate_per_s if is_number(rate_per_s, 0, RATE_MAXIMUM_PER_S) else None
 
 
 def states_leaving(fields):
--- a/egretlift/serving/call.py
+++ b/egretlift/serving/call.py
@@ -1,5 +1,7 @@
 """A call that a daemon handles, and the context header that passes it on."""
 
+from egretlift.documents import parse_integer
+
 
 class Call:
     """A request of a caller or of an upstream that has passed the checks.
@@ -153,10 +155,10 @@
     count = 2 + len(CONTEXT_FLAGS)
     if len(parts) != count + len(CONTEXT_FIELDS):
         return None
-    try:
-        remaining_ms, rank, *flags = map(int, parts[:count])
-    except ValueError:
+    numbers = [parse_integer(part) for part in parts[:count]]
+    if None in numbers:
         return None
+    remaining_ms, rank, *flags = numbers
     values = dict(zip(CONTEXT_FIELDS, parts[count:], strict=True))
     if values["organisation"] == EMPTY_FIELD:
         values["organisation"] = None
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -12,6 +12,7 @@
 import httptools
 
 from egretlift.clock import read_clock
+from egretlift.documents import parse_integer
 from egretlift.transport.http_messages import NO_BODY_STATUSES
 
 # A connection is closed when sent bytes stay unacknowledged, or the keepalive probes of
@@ -289,9 +290,9 @@
         """Set the idle limit from the peer's ``Keep-Alive: timeout`` header."""
         for part in fields.get("keep-alive", "").split(","):
             name, _, value = part.strip().partition("=")
-            value = value.strip()
-            if name.lower() == "timeout" and value.isascii() and value.isdigit():
-                self.idle_limit_s = max(0.0, int(value) - IDLE_MARGIN_S)
+            timeout_s = parse_integer(value.strip())
+            if name.lower() == "timeout" and timeout_s is not None:
+                self.idle_limit_s = max(0.0, timeout_s - IDLE_MARGIN_S)
 
     def fail(self, reason):
         """Close the connection; an open request raises ``ExchangeBroken``."""
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -4,6 +4,7 @@
 import anyio
 from multidict import CIMultiDict
 
+from egretlift.documents import parse_integer
 from egretlift.outcome import (
     CAUSE_HEADER,
     LOAD_HEADER,
@@ -177,5 +178,4 @@
     answer.nested_failure = bool(cause)
     answer.nested_overload = cause == NESTED_OVERLOAD
     answer.load = headers.get(LOAD_HEADER)
-    left = headers.get(RETRIES_HEADER, "")
-    answer.retries_left = int(left) if left.isdigit() else None
+    answer.retries_left = parse_integer(headers.get(RETRIES_HEADER, ""))
