Read the valid objects of the object API beside odd ones

The operators' listings failed as a whole, and daemons of the product's own call path stopped following the platform, when one object there was odd: a spec that is no JSON object, or that is nested deeply, a lease with an unknown field or a holder that is no text, endpoints that are no list.

Cause: as with the store, answers were parsed as a whole and taken for well formed; an error in one object ended the task that watches the platform, and RecursionError was expected nowhere.

Malformed objects are left out of lists and watches; leases, shares and seeds are checked before they are applied, also those in gossip, and malformed ones are counted (objects_malformed) and logged (object-malformed). The command line shows an object with an odd spec without its fields, and reports an odd file as such.

--- a/egretlift/cli/hosts.py
+++ b/egretlift/cli/hosts.py
@@ -6,7 +6,8 @@
 
 from egretlift.cli.output import OUTPUT_OPTION, Output, print_note, print_rows
 from egretlift.cli.session import call_platform, list_endpoints
-from egretlift.errors import EgretliftError
+from egretlift.documents import parse_document
+from egretlift.errors import EgretliftError, ObjectInvalid
 
 REQUEST_TIMEOUT_S = 3
 # Daemons queried at the same time.
@@ -48,11 +49,11 @@
             try:
                 response = await http.get(url)
                 response.raise_for_status()
-                body = response.json()
+                body = parse_document(response.content, is_shared=True)
                 if not isinstance(body, dict):
                     raise ValueError("the answer is not a JSON object")
                 results[index] = body
-            except (httpx.HTTPError, ValueError) as error:
+            except (httpx.HTTPError, ObjectInvalid, ValueError) as error:
                 results[index] = error
 
     async with anyio.create_task_group() as group:
--- a/egretlift/cli/keys.py
+++ b/egretlift/cli/keys.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from egretlift.cli.objects import withdraw_object
+from egretlift.cli.objects import get_spec, withdraw_object
 from egretlift.cli.output import OUTPUT_OPTION, Output, print_note, print_rows
 from egretlift.cli.session import call_platform
 from egretlift.errors import EgretliftError, NotFound
@@ -20,7 +20,7 @@
 async def issue_key(client, organisation):
     """Store the digest of a new key of an organisation and return (key, digest)."""
     item = await client.get_object("organisation", organisation)
-    if item["spec"].get("withdrawn"):
+    if get_spec(item).get("withdrawn"):
         raise EgretliftError(
             f"organisation {organisation} is withdrawn",
             "write the organisation again before giving keys",
@@ -82,12 +82,12 @@
     rows = [
         {
             "digest": item["name"],
-            "organisation": item["spec"].get("organisation"),
+            "organisation": get_spec(item).get("organisation"),
             "revision": item["revision"],
-            "withdrawn": bool(item["spec"].get("withdrawn")),
+            "withdrawn": bool(get_spec(item).get("withdrawn")),
         }
         for item in items
-        if organisation in (None, item["spec"].get("organisation"))
+        if organisation in (None, get_spec(item).get("organisation"))
     ]
     rows.sort(key=lambda row: (str(row["organisation"]), row["revision"]))
     print_rows(rows, output or ctx.obj.output)
--- a/egretlift/cli/objects.py
+++ b/egretlift/cli/objects.py
@@ -8,7 +8,8 @@
 
 from egretlift.cli.output import OUTPUT_OPTION, Output, print_note, print_rows
 from egretlift.cli.session import call_platform, check_option
-from egretlift.errors import EgretliftError, NotFound
+from egretlift.documents import parse_document
+from egretlift.errors import EgretliftError, NotFound, ObjectInvalid
 from egretlift.platform.client import make_conflict_error
 from egretlift.settings import parse_name
 
@@ -31,8 +32,8 @@
     if not separator or not name:
         raise typer.BadParameter(f"{text!r} is not NAME=VALUE", param_hint="--set")
     try:
-        return name, json.loads(value)
-    except ValueError:
+        return name, parse_document(value.encode())
+    except ObjectInvalid:
         return name, value
 
 
@@ -44,8 +45,8 @@
     if path is not None:
         try:
             text = sys.stdin.read() if path == "-" else Path(path).read_text()
-            spec = json.loads(text)
-        except (OSError, ValueError) as error:
+            spec = parse_document(text.encode())
+        except (OSError, ValueError, ObjectInvalid) as error:
             raise EgretliftError(
                 f"cannot read a spec from {path}: {error}", "give a JSON file"
             ) from None
@@ -56,12 +57,17 @@
     return {**spec, **dict(map(parse_pair, pairs))}
 
 
+def get_spec(item):
+    """Return the spec of an object, {} if it is not a JSON object."""
+    return item["spec"] if isinstance(item["spec"], dict) else {}
+
+
 def merge_spec(current, fields):
     """Return the current spec updated with the fields.
 
     Writing to a withdrawn object puts it in force again.
     """
-    spec = dict(current["spec"]) if current else {}
+    spec = dict(get_spec(current)) if current else {}
     spec.pop("withdrawn", None)
     return {**spec, **fields}
 
@@ -104,19 +110,19 @@
     """Mark an object as withdrawn and return it, unchanged if it already is."""
     current = await client.get_object(kind, name)
     check_version(kind, name, current, version)
-    if current["spec"].get("withdrawn"):
+    if get_spec(current).get("withdrawn"):
         return current
-    spec = {**current["spec"], "withdrawn": True}
+    spec = {**get_spec(current), "withdrawn": True}
     return await client.put_object(kind, name, spec, current["revision"])
 
 
 def describe_object(item):
     """Return an object as one row, with a column for each field of its spec."""
-    spec = {key: value for key, value in item["spec"].items() if key != "withdrawn"}
+    spec = {key: value for key, value in get_spec(item).items() if key != "withdrawn"}
     return {
         "name": item["name"],
         "revision": item["revision"],
-        "withdrawn": bool(item["spec"].get("withdrawn")),
+        "withdrawn": bool(get_spec(item).get("withdrawn")),
         **spec,
     }
 
--- a/egretlift/daemon/zone.py
+++ b/egretlift/daemon/zone.py
@@ -4,7 +4,6 @@
 standby takes the lease over.
 """
 
-import json
 import math
 import time
 
@@ -12,8 +11,15 @@
 
 from egretlift.blackboard import count
 from egretlift.daemon.messages import send_control
+from egretlift.daemon.objects import accept_object, is_lease, is_seed
 from egretlift.daemon.tasks import start_task
-from egretlift.errors import ConflictError, EgretliftError, NotFound
+from egretlift.documents import parse_document
+from egretlift.errors import (
+    ConflictError,
+    EgretliftError,
+    NotFound,
+    ObjectInvalid,
+)
 from egretlift.events import record_event
 from egretlift.quotas import (
     LeaseState,
@@ -50,6 +56,8 @@
     sent_at : float, optional
         Monotonic time at which the object was asked for; ``now`` if None.
     """
+    if not accept_object(board, item, is_lease):
+        return
     lease = ensure_lease(board, item["name"])
     sent_at = now if sent_at is None else sent_at
     if item["revision"] > lease.version:
@@ -73,12 +81,20 @@
         return
     if message.version <= get_own_lease(board).version:
         return
-    spec = json.loads(message.spec_json)
-    if not isinstance(spec, dict) or "holder" not in spec:
+    try:
+        spec = parse_document(message.spec_json.encode())
+    except ObjectInvalid:
+        spec = None
+    if not is_lease(spec) or "holder" not in spec:
         # If applied, it would make this host lose the lease.
         count(board, "leases_malformed")
         return
-    item = {"name": message.zone, "revision": message.version, "spec": spec}
+    item = {
+        "kind": "zone-lease",
+        "name": message.zone,
+        "revision": message.version,
+        "spec": spec,
+    }
     # It is not known when the peer read the lease from the platform.
     update_lease(board, item, time.monotonic(), -math.inf)
 
@@ -279,8 +295,9 @@
 
 def update_seeds(board, item):
     """Store the endpoints at which new daemons can join a zone."""
-    endpoints = item["spec"].get("endpoints", ())
-    board.zone_seeds[item["name"]] = [tuple(endpoint) for endpoint in endpoints]
+    if accept_object(board, item, is_seed):
+        endpoints = item["spec"].get("endpoints", ())
+        board.zone_seeds[item["name"]] = [tuple(endpoint) for endpoint in endpoints]
 
 
 async def publish_seeds(board):
--- a/egretlift/daemon/zone_shares.py
+++ b/egretlift/daemon/zone_shares.py
@@ -9,6 +9,7 @@
 
 from egretlift.blackboard import count
 from egretlift.configuration import find_organisation
+from egretlift.daemon.objects import accept_object, is_shares
 from egretlift.daemon.tasks import start_task
 from egretlift.daemon.zone import TICK_S, get_own_lease
 from egretlift.errors import ConflictError, EgretliftError
@@ -51,6 +52,8 @@
 
 def update_zone_share(board, item, now):
     """Update an organisation's zone shares from an object read from the platform."""
+    if not accept_object(board, item, is_shares):
+        return
     version, name = item["revision"], item["name"]
     known = board.share_objects.get(name)
     if known is None or version > known[0]:
--- a/egretlift/platform/client.py
+++ b/egretlift/platform/client.py
@@ -21,10 +21,16 @@
 
 import httpx  # noqa: E402
 
+from egretlift.documents import (  # noqa: E402
+    is_integer,
+    is_text,
+    parse_document,
+)
 from egretlift.errors import (  # noqa: E402
     ConflictError,
     EgretliftError,
     NotFound,
+    ObjectInvalid,
     PlatformUnavailable,
     WriteUnsettled,
 )
@@ -62,15 +68,16 @@
     >>> strip_write_id({"revision": 3, "spec": {"rate": 5, "_write": "1f"}})
     {'revision': 3, 'spec': {'rate': 5}}
     """
-    if item is None:
-        return None
+    if item is None or not isinstance(item["spec"], dict):
+        return item
     spec = {key: value for key, value in item["spec"].items() if key != WRITE_KEY}
     return {**item, "spec": spec}
 
 
 def get_write_id(item):
     """Return the write identifier of an object, None if it or the object is missing."""
-    return item["spec"].get(WRITE_KEY) if item else None
+    is_readable = item and isinstance(item["spec"], dict)
+    return item["spec"].get(WRITE_KEY) if is_readable else None
 
 
 def make_conflict_error(kind, name, current, may_have_applied=False):
@@ -116,14 +123,39 @@
 def decode_body(response):
     """Return the JSON object in an answer; raise ``AnswerLost`` if there is none."""
     try:
-        body = response.json()
-    except ValueError:
+        body = parse_document(response.content, is_shared=True)
+    except ObjectInvalid:
         body = None
     if not isinstance(body, dict):
         raise AnswerLost(f"an answer of status {response.status_code} is not JSON")
     return body
 
 
+def is_object(item):
+    """Return whether a value is an object of the platform; its spec may be anything."""
+    return (
+        isinstance(item, dict)
+        and is_text(item.get("kind"))
+        and is_text(item.get("name"))
+        and is_integer(item.get("revision"), 1)
+        and "spec" in item
+    )
+
+
+def decode_list(body):
+    """Return (revision, objects) of a list or watch; malformed objects are left out.
+
+    Raises
+    ------
+    PlatformUnavailable
+        The answer has no revision or no list.
+    """
+    revision, items = body.get("revision"), body.get("objects")
+    if not is_integer(revision, 0) or not isinstance(items, list):
+        raise make_unavailable_error("its answer holds no list of objects")
+    return revision, [strip_write_id(item) for item in items if is_object(item)]
+
+
 class PlatformClient:
     """Client of the object API, with a pool of connections and call timeouts.
 
@@ -171,8 +203,7 @@
 
     async def list_objects(self, kind):
         """Return (revision, objects) of a kind; a watch can start from the revision."""
-        body = await self.read(f"/objects/{quote(kind, safe='')}")
-        return body["revision"], [strip_write_id(item) for item in body["objects"]]
+        return decode_list(await self.read(f"/objects/{quote(kind, safe='')}") or {})
 
     async def get_object(self, kind, name):
         """Return an object.
@@ -199,8 +230,7 @@
         """
         limit_s = self.settings.watch_timeout_s if timeout_s is None else timeout_s
         query = {"kinds": ",".join(kinds), "after": after, "timeout_s": limit_s}
-        body = await self.read("/watch", query, limit_s)
-        return body["revision"], [strip_write_id(item) for item in body["objects"]]
+        return decode_list(await self.read("/watch", query, limit_s))
 
     async def put_object(self, kind, name, spec, version=None, write_id=None):
         """Write an object and return it as stored by the platform.
--- a/egretlift/platform/tests/fake.py
+++ b/egretlift/platform/tests/fake.py
@@ -1,5 +1,7 @@
 """Fake platform for tests: the object API with injected faults."""
 
+import json
+
 import anyio
 from aiohttp import web
 
@@ -13,18 +15,21 @@
         Faults in the order of requests; see `handle`.
     objects : dict
         Objects by (kind, name).
+    odd_items : list of bytes
+        What lists and watches contain as their first items, valid JSON or not.
     revision : int
         Revision of the last change.
     writes : int
         ``PUT`` and ``DELETE`` requests handled, refused ones included.
     """
 
-    __slots__ = ("faults", "objects", "revision", "writes")
+    __slots__ = ("faults", "objects", "odd_items", "revision", "writes")
 
     def __init__(self, faults=()):
         self.objects = {}
         self.revision = 0
         self.faults = list(faults)
+        self.odd_items = []
         self.writes = 0
 
 
@@ -88,7 +93,20 @@
         request.transport.close()
     if fault == "bad-gateway":
         return web.json_response({}, status=502)
-    return web.json_response(body, status=status)
+    return make_answer(platform, body, status)
+
+
+def make_answer(platform, body, status=200):
+    """Return an answer, with the odd items in front of those of a list."""
+    if "objects" in body and platform.odd_items:
+        items = [json.dumps(item).encode() for item in body["objects"]]
+        text = b'{"revision": %d, "objects": [%s]}' % (
+            body["revision"],
+            b", ".join([*platform.odd_items, *items]),
+        )
+    else:
+        text = json.dumps(body).encode()
+    return web.Response(body=text, status=status, content_type="application/json")
 
 
 async def handle_watch(platform, request):
@@ -103,7 +121,7 @@
         for v in platform.objects.values()
         if v["revision"] > after and v["kind"] in kinds
     ]
-    return web.json_response({"revision": platform.revision, "objects": items})
+    return make_answer(platform, {"revision": platform.revision, "objects": items})
 
 
 def make_app(platform):
--- a/egretlift/transport/codec.py
+++ b/egretlift/transport/codec.py
@@ -3,6 +3,7 @@
 import json
 
 from egretlift.configuration import decode_object, encode_object
+from egretlift.documents import parse_document
 from egretlift.errors import ObjectInvalid
 from egretlift.membership import Member, decode_member
 from egretlift.quotas import Allocation, AllocationRequest
@@ -62,7 +63,7 @@
     objects = []
     for message in messages:
         try:
-            spec = json.loads(message.spec_json)
+            spec = parse_document(message.spec_json.encode())
             item = {
                 "kind": message.kind,
                 "name": message.name,
@@ -70,7 +71,7 @@
                 "spec": spec,
             }
             objects.append(decode_object(item))
-        except (ValueError, ObjectInvalid):
+        except ObjectInvalid:
             continue
     return objects
 
