Look for deep values in a document without scanning all of it

A large configuration is parsed by every daemon.

The brackets alone now show whether the scan is needed: pairs are removed 16 times, and none is left of a document of usual depth. Brackets in strings can mislead this, so the parser's RecursionError leads to the scan too.

--- a/egretlift/documents.py
+++ b/egretlift/documents.py
@@ -18,6 +18,7 @@
 NUMBER_MAXIMUM = 10**18
 DIGITS_MAXIMUM = 18
 PORT_MAXIMUM = 65535
+OTHER_BYTES = bytes(set(range(256)) - set(b"[]{}"))
 # A string or a bracket. A string without an end extends to the end of the text.
 TOKENS = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"?|[\[\]{}]', re.DOTALL)
 INVALID_VALUE = "NaN"
@@ -49,13 +50,36 @@
     """
     try:
         text = data.decode("utf-8-sig", "surrogateescape" if is_shared else "strict")
-        return json.loads(
-            replace_deep_values(text), parse_int=read_integer, strict=not is_shared
-        )
+        if may_be_deep(data):
+            text = replace_deep_values(text)
+        try:
+            return load_text(text, is_shared)
+        except RecursionError:
+            return load_text(replace_deep_values(text), is_shared)
     except ValueError as error:
         raise ObjectInvalid(f"no JSON document: {error}", REMEDY) from error
 
 
+def load_text(text, is_shared):
+    """Return the JSON value in a text; see `parse_document`."""
+    return json.loads(text, parse_int=read_integer, strict=not is_shared)
+
+
+def may_be_deep(data):
+    """Return whether values in bytes of JSON may be nested too deeply.
+
+    This is much faster than `replace_deep_values`, but brackets in strings can mislead
+    it both ways.
+    """
+    brackets = data.translate(None, OTHER_BYTES)
+    for _ in range(DEPTH_MAXIMUM // 2):
+        # Each pair that is removed is one or two levels.
+        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
+        if not brackets:
+            return False
+    return True
+
+
 def read_integer(text):
     """Return the number in a JSON integer, as float if it is too long."""
     return int(text) if len(text) <= DIGITS_MAXIMUM else float(text)
@@ -67,8 +91,6 @@
     The parser recurses with each level, so that one deep value would end it with a
     ``RecursionError``.
     """
-    if text.count("[") + text.count("{") <= DEPTH_MAXIMUM:
-        return text
     parts, depth, kept_from = [], 0, 0
     for token in TOKENS.finditer(text):
         bracket = token[0]
