--- a/egretlift/platform/requests.py
+++ b/egretlift/platform/requests.py
@@ -116,6 +116,14 @@
     return SEAL_FIELD in fields and "content-encoding" not in fields
 
 
+def has_one_seal(headers):
+    """Return whether the (name, value) headers contain one seal, perhaps repeated.
+
+    Headers with two different seals are those of more than one answer.
+    """
+    return len({value for name, value in headers if name.lower() == SEAL_FIELD}) == 1
+
+
 def read_rate_limit(fields):
     """Return the rate limit that an upstream states, in requests a second, or None.
 
@@ -140,7 +148,8 @@
 
     An upstream that ran a request returns its identifier and a seal. A sealed answer
     without an identifier may be a late copy of an earlier answer, and is rejected. An
-    answer with neither is accepted, but tells nothing about the request.
+    answer with neither is accepted, but tells nothing about the request, and counts
+    only if none comes that `names_request`.
     """
     echoed = fields.get(REQUEST_ID_FIELD)
     if echoed is None:
@@ -148,6 +157,11 @@
     return echoed == request_id
 
 
+def names_request(fields):
+    """Return whether an upstream's answer has a request identifier."""
+    return REQUEST_ID_FIELD in fields
+
+
 def has_request_id(headers):
     """Return whether the (name, value) headers contain a request identifier."""
     return any(name.lower() == REQUEST_ID_FIELD for name, _ in headers)
--- a/egretlift/sidecar/documents.py
+++ b/egretlift/sidecar/documents.py
@@ -1,7 +1,10 @@
 """JSON documents read from other daemons."""
 
 from egretlift.documents import parse_document
-from egretlift.transport.exchange import encode_request, exchange
+from egretlift.errors import ObjectInvalid
+from egretlift.serving.peer_requests import exchange_with_peer
+
+REMEDY = "the daemon asks again later; check the other daemon if this lasts"
 
 
 async def read_document(board, peer, target, timeout_s):
@@ -14,14 +17,13 @@
     TimeoutError
         There was no answer within ``timeout_s`` seconds.
     ObjectInvalid
-        The answer is not JSON.
+        The answer is a refusal, or not JSON.
     """
     entry = peer.entry
-    endpoint = (entry.address, entry.peer_port)
-    data = encode_request("GET", target, [("Host", entry.address)], b"")
-    received = await exchange(
-        board.peer_pool, endpoint, "GET", data, lambda fields: True, timeout_s
-    )
+    request = ("GET", target, [("Host", entry.address)], b"")
+    received = await exchange_with_peer(board, entry, request, timeout_s)
     if received is None:
         raise TimeoutError(f"no answer of {entry.host} in {timeout_s} s")
+    if received.status != 200:
+        raise ObjectInvalid(f"{entry.host} answered {received.status}", REMEDY)
     return parse_document(received.body)
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -1,8 +1,8 @@
 """Entry point of the sidecar daemon: ``python -m egretlift.sidecar``."""
 
+import functools
 import gc
 import os
-import signal
 import sys
 from pathlib import Path
 
@@ -15,6 +15,7 @@
 from egretlift.errors import PlatformUnavailable
 from egretlift.events import record_event, start_logging
 from egretlift.events.output import Output
+from egretlift.outcome import EXCHANGE_HEADER
 from egretlift.platform import requests as dialect
 from egretlift.platform.bootfile import read_settings_file
 from egretlift.platform.names import HOST_KIND, SETTINGS_FILE_VARIABLE
@@ -33,6 +34,7 @@
     forget_hosts,
     keep_entry,
 )
+from egretlift.signals import handle_signals
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.http_server import (
     cancel_pending,
@@ -80,14 +82,15 @@
     settings = board.settings
     metrics = (settings.address, settings.metrics_port)
     ports = []
-    for handle, endpoint in (
-        (handle_readiness, settings.readiness),
-        (handle_heartbeat, settings.heartbeats),
-        (handle_peer, settings.peer),
-        (handle_metrics, metrics),
-        (handle_caller, settings.caller),
+    for handle, endpoint, repeated_header in (
+        (handle_readiness, settings.readiness, ""),
+        (handle_heartbeat, settings.heartbeats, ""),
+        (handle_peer, settings.peer, EXCHANGE_HEADER),
+        (handle_metrics, metrics, ""),
+        (handle_caller, settings.caller, ""),
     ):
-        ports.append(await listen(bind_board(handle, board), settings, *endpoint))
+        handle_one = bind_board(handle, board)
+        ports.append(await listen(handle_one, settings, *endpoint, repeated_header))
     return ports
 
 
@@ -137,16 +140,6 @@
     board.log_change("settings-reloaded", heartbeat_s=board.settings.heartbeat_s)
 
 
-async def wait_for_stop(board):
-    """Wait for SIGTERM or SIGINT; reload the settings on SIGHUP."""
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*numbers) as signals:
-        async for number in signals:
-            if number != signal.SIGHUP:
-                return
-            reload_settings(board)
-
-
 async def drain(board, servers):
     """Stop gracefully: accept requests for a while, then finish the open ones.
 
@@ -222,7 +215,11 @@
             # Objects made so far live until the end: exempt them from collection.
             gc.collect()
             gc.freeze()
-            await wait_for_stop(board)
+            stop = anyio.Event()
+            await tasks.start(
+                handle_signals, stop, functools.partial(reload_settings, board)
+            )
+            await stop.wait()
             await drain(board, [server for server, _ in ports])
             await remove_entry(board)
             for _, listener in ports:
--- a/egretlift/sidecar/tests/test_odd_messages.py
+++ b/egretlift/sidecar/tests/test_odd_messages.py
@@ -30,7 +30,7 @@
 
 
 def make_answering_exchange(body):
-    """Return a stand-in for `exchange` that answers every request with a body."""
+    """Return a stand-in for `exchange_with_peer` that always answers a body."""
 
     async def answer(*details):
         return ReceivedAnswer(200, [], {}, body)
@@ -153,7 +153,9 @@
         """Return what is granted by a host that answers with a body."""
         receive(board, json.dumps(["report", encode_report(make_report())]).encode())
         query = {"wanted": 3}
-        with mock.patch.object(documents, "exchange", make_answering_exchange(body)):
+        with mock.patch.object(
+            documents, "exchange_with_peer", make_answering_exchange(body)
+        ):
             return anyio.run(
                 tokens.request_tokens, board, board.peers["b"], "/t", query, 1.0
             )
@@ -186,7 +188,9 @@
     def fetch_hosts(self, board, body):
         """Fetch the hosts from a daemon that answers with a body."""
         receive(board, json.dumps(["report", encode_report(make_report())]).encode())
-        with mock.patch.object(documents, "exchange", make_answering_exchange(body)):
+        with mock.patch.object(
+            documents, "exchange_with_peer", make_answering_exchange(body)
+        ):
             anyio.run(fetching.fetch_hosts_from, board, board.peers["b"])
 
 
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -1,7 +1,11 @@
 """Forwarding of calls to an upstream or another daemon; classification of answers."""
 
+import asyncio
+import functools
+
 import aiohttp
 import anyio
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 
 from egretlift.documents import parse_integer
@@ -15,6 +19,7 @@
     Outcome,
     Refusal,
 )
+from egretlift.transport.connection import read_socket_error
 from egretlift.transport.messages import (
     BUFFERED_BODY_BYTES_MAXIMUM,
     Answer,
@@ -30,6 +35,53 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, EOFError)
 
 
+class AnswerProtocol(ResponseHandler):
+    """Connection of a session that takes each byte for one answer only.
+
+    aiohttp takes any end of the connection for the end of a body without a length, and
+    what arrives on an idle connection for the answer to the next request.
+    """
+
+    __slots__ = ("end_error", "last_body")
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.end_error = ""
+        self.last_body = None
+
+    def set_response_params(self, **options):
+        """Start a request: an answer is due from now on."""
+        self.last_body = None
+        super().set_response_params(**options)
+
+    def feed_data(self, answer, size=0):
+        """Record the body of the answer, unless it is an informational one (1xx)."""
+        message, body = answer
+        if message.code >= 200:
+            self.last_body = body
+        super().feed_data(answer, size)
+
+    def data_received(self, data):
+        """Close the connection if the answer is already complete."""
+        if data and self.last_body is not None and self.last_body.is_eof():
+            self.transport.abort()
+            return
+        super().data_received(data)
+
+    def eof_received(self):
+        """Read the socket's error: libuv reports some resets as an end of stream."""
+        self.end_error = read_socket_error(self.transport)
+        super().eof_received()
+
+    def connection_lost(self, error):
+        """Fail an unfinished body unless the peer closed the connection."""
+        reason = error or self.end_error
+        payload = self._payload
+        if reason and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"cut off: {reason}"))
+        super().connection_lost(error)
+
+
 def open_session(settings):
     """Return a client session for calls to one kind of target, upstream or daemons.
 
@@ -43,6 +95,8 @@
         keepalive_timeout=30,
         use_dns_cache=False,
     )
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(AnswerProtocol, loop=loop)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/egretlift/transport/tests/test_pipelining.py
+++ b/egretlift/transport/tests/test_pipelining.py
@@ -1,12 +1,15 @@
 """Pipelined requests: sent before the first of them is answered."""
 
 import asyncio
+import socket
 import time
 import unittest
 
+import uvloop
+
 from egretlift.settings import Settings
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import listen
+from egretlift.transport.http_server import cancel_pending, listen
 
 WORK_S = 0.15
 
@@ -121,6 +124,98 @@
         asyncio.run(server.exchange(data, abort_after_s=0.5 * WORK_S))
         self.assertLess(len(server.began), 100)
 
+    def test_client_that_does_not_read(self):
+        """Guards against answers that nobody reads and that exhaust the memory."""
+        count, large = 0, b"x" * 100_000
+
+        async def handle(request):
+            nonlocal count
+            count += 1
+            return Response(200, [], large)
+
+        async def send_only():
+            _, listener = await listen(handle, Settings(), "127.0.0.1", 0)
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(listener.sockets[0].getsockname())
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            data = b"".join(encode("GET", f"/{number}") for number in range(2000))
+            sending = loop.create_task(loop.sock_sendall(sock, data))
+            await asyncio.sleep(4 * WORK_S)
+            unread = count
+            # It reads after all.
+            received = 0
+            async with asyncio.timeout(10.0):
+                while received < 2000 * len(large):
+                    received += len(await loop.sock_recv(sock, 1 << 20))
+            await sending
+            sock.close()
+            listener.close()
+            return unread
+
+        for name, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+            with self.subTest(name):
+                count = 0
+                unread = run(send_only())
+                # The socket's buffers hold some of the answers.
+                self.assertLess(unread, 200)
+                self.assertEqual(count, 2000)
+
+    def test_stop_cancels_requests(self):
+        """Guards against answers that wait for ever behind a cancelled request.
+
+        A request may be cancelled before it has begun, and its handler may answer when
+        it is cancelled, as those of callers do.
+        """
+
+        async def handle(request):
+            try:
+                await asyncio.sleep(WORK_S)
+            except asyncio.CancelledError:
+                if "raise" in request.target:
+                    raise
+                return Response(502, [], request.target.encode())
+            return Response(200, [], request.target.encode())
+
+        async def stop(paths, is_begun):
+            server, listener = await listen(handle, Settings(), "127.0.0.1", 0)
+            endpoint = listener.sockets[0].getsockname()
+            reader, writer = await asyncio.open_connection(*endpoint)
+            writer.write(b"".join(encode("GET", path) for path in paths))
+            while not any(item.pending for item in server.connections):
+                await asyncio.sleep(0)
+            if is_begun:
+                await asyncio.sleep(WORK_S / 4)
+            cancel_pending(server)
+            received = b""
+            try:
+                async with asyncio.timeout(3 * WORK_S):
+                    while received.count(b"HTTP/1.1 ") < len(paths):
+                        received += await reader.read(65536)
+            except TimeoutError:
+                pass
+            writer.close()
+            listener.close()
+            return read_paths(received)
+
+        unknown = '{"outcome": "unknown", "reason": "stopping"'
+        for name, paths in (
+            ("answered", ["/a", "/b", "/c"]),
+            ("raised first", ["/raise", "/b", "/c"]),
+            ("raised between", ["/a", "/raise", "/c"]),
+            ("all raised", ["/raise", "/raise2", "/raise3"]),
+        ):
+            for loop, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+                for is_begun in (False, True):
+                    with self.subTest(name, loop=loop, is_begun=is_begun):
+                        found = run(stop(paths, is_begun))
+                        self.assertEqual(len(found), len(paths))
+                        for path, body in zip(paths, found, strict=True):
+                            if body != path:
+                                self.assertTrue(body.startswith(unknown), body)
+                                self.assertTrue("raise" in path or not is_begun)
+
 
 if __name__ == "__main__":
     unittest.main()
