Reject names of hosts and upstreams that do not fit into a header

A call to a host whose entry has a name beyond Latin-1 would end with a fault of the daemon that sends it: since requests between daemons name the host that they are meant for, encoding the request raises UnicodeEncodeError.

Names of hosts, in entries, reports and the settings file, and identifiers of upstreams must fit into a header now.

Evidence: without the change the two new rows of test_values_out_of_range in membership/tests/test_odd_entries.py fail; all pass now.

--- a/egretlift/documents.py
+++ b/egretlift/documents.py
@@ -18,6 +18,8 @@
 NUMBER_MAXIMUM = 10**18
 DIGITS_MAXIMUM = 18
 PORT_MAXIMUM = 65535
+# Headers are written in Latin-1.
+LATIN_1_LAST = "\xff"
 OTHER_BYTES = bytes(set(range(256)) - set(b"[]{}"))
 # A string or a bracket. A string without an end extends to the end of the text.
 TOKENS = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"?|[\[\]{}]', re.DOTALL)
@@ -146,7 +148,7 @@
 def is_text(value):
     r"""Return whether a JSON value is a text of printable characters.
 
-    Control characters and lone surrogates could not be written into headers.
+    Control characters and lone surrogates could be written into no message.
 
     Examples
     --------
@@ -156,6 +158,17 @@
     return isinstance(value, str) and value != "" and value.isprintable()
 
 
+def is_header_text(value):
+    """Return whether a JSON value is a text that fits into the value of a header.
+
+    Examples
+    --------
+    >>> is_header_text("host-1"), is_header_text("\u6f22")
+    (True, False)
+    """
+    return is_text(value) and max(value) <= LATIN_1_LAST
+
+
 def parse_integer(text):
     """Return the whole number in a text of ASCII digits, None if there is none.
 
--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -7,6 +7,7 @@
 
 from egretlift.documents import (
     is_address,
+    is_header_text,
     is_integer,
     is_number,
     is_port,
@@ -36,9 +37,9 @@
 REMEDY = "send the fields of a host with their types"
 
 
-def is_optional_text(value):
-    """Return whether a value is a text that may be empty."""
-    return value == "" or is_text(value)
+def is_optional_name(value):
+    """Return whether a value is empty or a name that fits into a header."""
+    return value == "" or is_header_text(value)
 
 
 def is_count(value):
@@ -77,13 +78,13 @@
     """
 
     FIELDS = (
-        ("host", is_text),
+        ("host", is_header_text),
         ("zone", is_text),
         ("service", is_text),
         ("address", is_address),
         ("peer_port", is_port),
         ("report_port", is_port),
-        ("upstream_id", is_optional_text),
+        ("upstream_id", is_optional_name),
         ("state", is_text),
         ("born", is_not_negative),
         ("sequence", is_not_negative),
@@ -225,7 +226,7 @@
 def decode_entry_reference(values):
     """Return the ``EntryReference`` in the values of a short report."""
     host, boot, counter = values
-    if not (is_text(host) and is_text(boot) and is_count(counter)):
+    if not (is_header_text(host) and is_text(boot) and is_count(counter)):
         raise ObjectInvalid(f"report: sender is {values!r:.200}", REMEDY)
     return EntryReference(host, boot, counter)
 
--- a/egretlift/membership/tests/test_odd_entries.py
+++ b/egretlift/membership/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Entries, reports and loads with odd values, from the store or other daemons."""
 
 import math
+import random
 import unittest
 
 from hypothesis import given
@@ -17,6 +18,7 @@
     encode_report,
 )
 from egretlift.membership.tests.test_peers import make_entry, make_report
+from egretlift.serving.peer_requests import make_mark
 
 JSON_VALUES = st.recursive(
     st.none()
@@ -38,6 +40,7 @@
         test.assertTrue(0 <= float(value) < math.inf)
     for name in ("host", "zone", "service", "address", "boot", "upstream_id", "state"):
         getattr(entry, name).encode()
+    make_mark(entry.host, random.Random(1)).encode("latin-1")
 
 
 class TestOddEntries(unittest.TestCase):
@@ -63,6 +66,8 @@
             {"counter": 10**30},
             {"host": ""},
             {"host": "\ud800"},
+            {"host": "\u6f22"},
+            {"upstream_id": "\u6f22"},
             {"zone": "a\nb"},
         ):
             with self.subTest(changes=changes), self.assertRaises(ObjectInvalid):
--- a/egretlift/platform/bootfile.py
+++ b/egretlift/platform/bootfile.py
@@ -4,6 +4,7 @@
 
 from egretlift.documents import (
     is_address,
+    is_header_text,
     is_number,
     is_port,
     is_text,
@@ -54,6 +55,15 @@
     return value
 
 
+def read_name(document, name, errors):
+    """Return a name that fits into a header; add to ``errors`` if it is none."""
+    value = document.get(name)
+    if not is_header_text(value):
+        remedy = "give a name in Latin-1 characters in the settings file"
+        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
+    return value
+
+
 def read_address(document, name, errors):
     """Return an IP address; add to ``errors`` if it is none."""
     value = document.get(name)
@@ -148,7 +158,7 @@
     platform = read_section(document, "platform", errors)
     ports = read_ports(document, errors)
     settings = SidecarSettings(
-        host=read_text(document, "node_name", errors),
+        host=read_name(document, "node_name", errors),
         zone=read_text(document, "zone", errors),
         address=read_address(document, "ip", errors),
         service=read_text(document, "service", errors),
--- a/egretlift/platform/heartbeats.py
+++ b/egretlift/platform/heartbeats.py
@@ -1,6 +1,6 @@
 """Decoding of the heartbeats that upstreams send."""
 
-from egretlift.documents import is_number, is_text, parse_document
+from egretlift.documents import is_header_text, is_number, is_text, parse_document
 from egretlift.errors import AnnouncementInvalid, ObjectInvalid
 from egretlift.membership.peers import SLOTS_MAXIMUM
 from egretlift.membership.upstream import Announcement
@@ -37,7 +37,8 @@
         ) from error
     service, address, state = texts
     is_valid = (
-        all(is_text(text) for text in (upstream_id, *texts))
+        is_header_text(upstream_id)
+        and all(is_text(text) for text in texts)
         and all(is_number(value, 0) for value in (sequence, born))
         and is_number(slots, 1, SLOTS_MAXIMUM)
         and state in STATES
