--- a/egretlift/serving/tests/test_peer_answers.py
+++ b/egretlift/serving/tests/test_peer_answers.py
@@ -7,7 +7,8 @@
 import uvloop
 
 from egretlift.clock import read_clock
-from egretlift.membership.peers import HostEntry, Peer
+from egretlift.membership.peers import Peer
+from egretlift.membership.tests.test_peers import make_entry
 from egretlift.outcome import Outcome
 from egretlift.platform import requests as dialect
 from egretlift.serving.call import Call
@@ -49,10 +50,11 @@
 
 def make_peer(endpoint):
     """Return the peer ``there`` at an endpoint."""
-    values = {name: kind() for name, kind in HostEntry.FIELDS if type(kind) is type}
-    values.update(born=0, sequence=0, host="there", zone="z", upstream_id="u")
-    values.update(address=endpoint[0], peer_port=endpoint[1], state="ready")
-    return Peer(HostEntry(**values), read_clock())
+    address, port = endpoint
+    entry = make_entry(
+        "there", address=address, peer_port=port, upstream_id="u", born=0, sequence=0
+    )
+    return Peer(entry, read_clock())
 
 
 def make_call(request_id):
--- a/egretlift/sidecar/documents.py
+++ b/egretlift/sidecar/documents.py
@@ -1,7 +1,6 @@
 """JSON documents read from other daemons."""
 
-import json
-
+from egretlift.documents import parse_document
 from egretlift.serving.peer_requests import exchange_with_peer
 from egretlift.transport.exchange import ExchangeBroken
 
@@ -16,7 +15,7 @@
         daemon refused the request, which was then meant for another host.
     TimeoutError
         There was no answer within ``timeout_s`` seconds.
-    ValueError
+    ObjectInvalid
         The answer is not JSON.
     """
     entry = peer.entry
@@ -26,4 +25,4 @@
         raise TimeoutError(f"no answer of {entry.host} in {timeout_s} s")
     if received.status != 200:
         raise ExchangeBroken(f"{entry.host} answered with status {received.status}")
-    return json.loads(received.body)
+    return parse_document(received.body)
--- a/egretlift/sidecar/tests/test_peer_requests.py
+++ b/egretlift/sidecar/tests/test_peer_requests.py
@@ -7,6 +7,7 @@
 
 import uvloop
 
+from egretlift.errors import ObjectInvalid
 from egretlift.outcome import EXCHANGE_HEADER
 from egretlift.platform import requests as dialect
 from egretlift.serving.tests.test_peer_answers import (
@@ -80,7 +81,7 @@
         try:
             document = await read_document(board, peer, "/egretlift/tokens", TIMEOUT_S)
             results.append(document["tokens"])
-        except (ExchangeBroken, TimeoutError, ValueError) as error:
+        except (ExchangeBroken, TimeoutError, ObjectInvalid) as error:
             results.append(type(error).__name__)
         await asyncio.sleep(PAUSE_S)
     close_pool(board.peer_pool)
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -8,6 +8,7 @@
 from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 
+from egretlift.documents import parse_integer
 from egretlift.outcome import (
     CAUSE_HEADER,
     LOAD_HEADER,
@@ -231,5 +232,4 @@
     answer.nested_failure = bool(cause)
     answer.nested_overload = cause == NESTED_OVERLOAD
     answer.load = headers.get(LOAD_HEADER)
-    left = headers.get(RETRIES_HEADER, "")
-    answer.retries_left = int(left) if left.isdigit() else None
+    answer.retries_left = parse_integer(headers.get(RETRIES_HEADER, ""))
