Log and count when the store comes back from an older copy

The client of the store now reads the header Store-Era of each answer; the daemon logs and counts a later era, and logs each list that replaces a watch. Logic is unchanged.

--- a/egretlift/platform/names.py
+++ b/egretlift/platform/names.py
@@ -17,6 +17,9 @@
 RATE_LIMIT = "Server-Limit"
 # "1" in all answers of an upstream that is about to end.
 LEAVING = "Server-Leaving"
+# In all answers of the store: rises by one each time that the store comes back from an
+# older copy of itself. Revisions are comparable within one era only.
+STORE_ERA = "Store-Era"
 
 READINESS_PATH = "/-/readiness"
 UPSTREAMS_PATH = "/-/instances/"
--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -20,6 +20,8 @@
 CONNECT_TIMEOUT_S = 0.6
 # Longest time that the store keeps a watch open without an event.
 WATCH_WAIT_S = 15.0
+# Longer numbers are no eras.
+ERA_DIGITS = 18
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -72,12 +74,18 @@
     ----------
     calls : int
         Calls sent so far, for metrics.
+    era : int or None
+        Era of the last answer; None before the first one that states it.
+    report_era : callable or None
+        Called with the era of each answer that states one.
     """
 
-    __slots__ = ("calls", "http")
+    __slots__ = ("calls", "era", "http", "report_era")
 
     def __init__(self, endpoint):
         self.calls = 0
+        self.era = None
+        self.report_era = None
         transport = httpx.AsyncHTTPTransport(
             verify=False, trust_env=False, socket_options=SOCKET_OPTIONS
         )
@@ -116,11 +124,21 @@
             raise PlatformUnavailable(
                 f"store: {type(error).__name__} on {method} {path}", REMEDY
             ) from error
+        self.record_era(response)
         status = response.status_code
         if status in (200, 201, 404, 409, 410):
             return status, decode_document(response)
         raise PlatformUnavailable(f"store: status {status} on {method} {path}", REMEDY)
 
+    def record_era(self, response):
+        """Record and report the era that an answer states, if it states one."""
+        era = decode_era(response.headers.get(names.STORE_ERA))
+        if era is None:
+            return
+        self.era = era
+        if self.report_era is not None:
+            self.report_era(era)
+
     async def list_objects(self, kind, allow_stale=False):
         """Return (revision, objects) of a kind, the revision to start a watch from.
 
@@ -233,6 +251,18 @@
     return f"{names.OBJECTS_PATH}{kind}"
 
 
+def decode_era(text):
+    """Return the era in a header, None if it is missing or no whole number.
+
+    Examples
+    --------
+    >>> decode_era("3"), decode_era("x"), decode_era(None)
+    (3, None, None)
+    """
+    is_number = text is not None and text.isdecimal() and len(text) <= ERA_DIGITS
+    return int(text) if is_number else None
+
+
 def decode_document(response):
     """Return the JSON document in an answer, None if it cannot be parsed."""
     try:
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -77,6 +77,9 @@
         Since when this host has been chosen to follow the store for its zone.
     store_ok : bool or None
         Whether the store serves this host; None if it was not called recently.
+    store_era : int or None
+        Latest known era of the store, see `egretlift.sidecar.eras`; None before the
+        first answer of the store that states one.
     store_lost_at : float
         Clock reading, in seconds, when a call to the store last failed.
     datagrams : DatagramTransport or None
@@ -169,6 +172,7 @@
         "statements",
         "stopping",
         "store",
+        "store_era",
         "store_lost_at",
         "store_ok",
         "upstream",
@@ -184,6 +188,7 @@
         self.dialect = dialect
         self.store = store
         self.store_ok = None
+        self.store_era = None
         self.store_lost_at = 0.0
         self.follower_role = FollowerRole()
         self.datagrams = None
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -21,6 +22,7 @@
 from egretlift.platform.store import StoreClient
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.callers import handle_caller
+from egretlift.sidecar.eras import adopt_era
 from egretlift.sidecar.fetching import fetch_configuration, fetch_hosts
 from egretlift.sidecar.heartbeats import handle_heartbeat, handle_readiness
 from egretlift.sidecar.metrics import handle_metrics
@@ -208,6 +210,7 @@
     """
     start_logging(settings.host, Output(STDOUT))
     board = Board(settings, dialect, StoreClient(settings.store))
+    board.store.report_era = partial(adopt_era, board)
     board.settings_path = path
     board.settings_content = Path(path).read_bytes()
     record_event("started", zone=settings.zone, service=settings.service)
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -13,6 +13,7 @@
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
     "store_calls": "Calls to the store",
+    "store_restores": "Times that the store came back from an older copy",
     "unframed_answers": "Whole answers that ended with their connection",
     "upstream_connections": "Connections opened to the upstream",
     "upstream_requests": "Requests sent to the upstream, by kind",
@@ -65,6 +66,7 @@
         "configuration_version": board.configuration.version
         if board.configuration
         else 0,
+        "store_era": board.store_era or 0,
         "store_served": int(bool(board.store_ok)),
         "upstream_rate_limit": get_stated_rate(board.slots.rate_limit) or 0,
     }
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -26,6 +26,7 @@
 )
 from egretlift.platform.store import HistoryGone, StoredObject
 from egretlift.sidecar.datagrams import HOSTS, encode_datagram, send_datagram
+from egretlift.sidecar.eras import log_listed
 
 # Pauses between failed calls to the store, in seconds: the first and the longest.
 BACKOFF_S = 0.1
@@ -240,12 +241,15 @@
         Whether what is read may be some seconds old. Changes are then read in batches.
     """
     pause_s = BACKOFF_S
-    revision = None
+    revision = before = None
     while True:
         await wait_until_reader(board, may_read)
         try:
             if revision is None:
                 revision, objects = await board.store.list_objects(kind, allow_stale)
+                if before is not None:
+                    log_listed(board, kind, objects, before, revision)
+                    before = None
                 apply(board, objects, revision)
             else:
                 revision, objects = await board.store.watch(kind, revision, allow_stale)
@@ -256,7 +260,7 @@
                 await anyio.sleep(COALESCE_S)
         except HistoryGone:
             board.log_change("history-gone", kind=kind, revision=revision)
-            revision = None
+            before, revision = revision, None
         except PlatformUnavailable as error:
             record_store_status(board, False, str(error))
             await anyio.sleep(pause_s * (0.5 + board.random.random()))
