Write a host's entry again after the store was restored

An upstream whose drain was acknowledged would have got requests again, and hosts that were added in the lost seconds stayed unknown to daemons that started later. Cause: the daemon compared its entry with what it remembered to have stored, so that one that a restored store had lost, or held in an older state, was not written again before the upstream's next change; a daemon that restarted meanwhile took the older state.

Evidence: integration.test_restored_store.TestEntries.

Each daemon that learns of a later era reads its entry, within half a second, and once more after 6 s, as writes without an answer may be done late. It writes the entry again if it is gone, is another than it wrote last, or comes before one that it or another daemon knows; also if the store turns out to be in a later era than the entry states. What others know of this host's entry restores a drain whatever the store says.

--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -89,7 +89,8 @@
     datagrams : DatagramTransport or None
         Sends datagrams to other daemons; None while the socket is closed.
     entry_missing : bool
-        Whether this host's entry was removed from the store by another daemon.
+        Whether this host's entry must be written again: it was removed from the store,
+        or the store holds an older one.
     era_changed : Event
         Set when the store has come to a later era.
     settled_era : int or None
--- a/egretlift/sidecar/eras.py
+++ b/egretlift/sidecar/eras.py
@@ -5,15 +5,22 @@
 era, from an answer of the store or from the report of another daemon,
 
 * reads the lists that it follows once more, in place of changes,
+* checks its own entry in the store, and writes it again if it is gone or older,
 * takes an entry that is missing from a list for removed only after `SETTLE_S`, as its
   host may not have written it again before.
 """
 
 import anyio
 
+from egretlift.errors import PlatformUnavailable
 from egretlift.membership.positions import make_position, split_position
 
-# Time for all daemons to write their entries again.
+# Pause before a daemon checks its own entry, at most: all daemons do so at once.
+CHECK_SPREAD_S = 0.5
+# Pauses between failed checks.
+CHECK_RETRY_S = 1.0
+# Time for all daemons to write their entries again. A write without an answer may be
+# done late; own entries are checked once more after this time.
 SETTLE_S = 6.0
 
 
@@ -73,18 +80,39 @@
     return board.settled_era is None or era <= board.settled_era
 
 
-async def settle_eras(board):
-    """Have the followed objects listed again a while after each change of the era."""
+async def settle_eras(board, check_entry):
+    """Check this host's entry after each change of the era, twice.
+
+    Parameters
+    ----------
+    board : Board
+    check_entry : callable
+        Coroutine function that takes the board; see `watching.check_own_entry`.
+    """
     while True:
         await board.era_changed.wait()
         board.era_changed = anyio.Event()
         era = board.store_era
+        await anyio.sleep(CHECK_SPREAD_S * board.random.random())
+        await check_until_read(board, check_entry)
         await anyio.sleep(SETTLE_S)
+        await check_until_read(board, check_entry)
         if not board.era_changed.is_set():
             board.settled_era = era
             end_watches(board)
 
 
+async def check_until_read(board, check_entry):
+    """Call ``check_entry`` until the store answers."""
+    while True:
+        try:
+            await check_entry(board)
+            return
+        except PlatformUnavailable as error:
+            board.log_change("entry-not-checked", cause=str(error))
+            await anyio.sleep(CHECK_RETRY_S * (0.5 + board.random.random()))
+
+
 def log_listed(board, kind, objects, before, position):
     """Log a list that was read in place of changes, and what is known beyond it.
 
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -22,7 +22,7 @@
 from egretlift.platform.store import StoreClient
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.callers import handle_caller
-from egretlift.sidecar.eras import adopt_era, settle_eras
+from egretlift.sidecar.eras import adopt_era
 from egretlift.sidecar.fetching import fetch_configuration, fetch_hosts
 from egretlift.sidecar.heartbeats import handle_heartbeat, handle_readiness
 from egretlift.sidecar.metrics import handle_metrics
@@ -34,6 +34,7 @@
     follow_hosts,
     forget_hosts,
     keep_entry,
+    keep_entry_restored,
 )
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.http_server import (
@@ -61,7 +62,7 @@
     follow_hosts,
     keep_entry,
     forget_hosts,
-    settle_eras,
+    keep_entry_restored,
     send_reports,
     send_rates,
     fetch_configuration,
--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -15,16 +15,21 @@
 from egretlift.platform.names import CONFIGURATION_KIND, HOST_KIND
 from egretlift.platform.store import StoreClient
 from egretlift.platform.tests.test_decoding import SETTINGS
-from egretlift.sidecar import watching
+from egretlift.sidecar import eras, watching
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.eras import adopt_era
 from egretlift.sidecar.watching import (
     Watch,
     apply_configuration,
     apply_host_entries,
+    check_own_entry,
     follow,
+    keep_entry,
+    keep_entry_restored,
+    read_hosts,
     read_next,
     receive_entries,
+    write_entry,
 )
 from standins.metastore import Metastore, serve_metastore
 from standins.ports import PortBlocks, allocate_port, release_ports
@@ -315,5 +320,154 @@
                 run_with_board(use_board)
 
 
+class TestOwnEntry(unittest.TestCase):
+    """The own entry of a host in a restored store."""
+
+    def test_entry_is_written_again(self):
+        """Guards against an own entry that stays gone, or older, in the store.
+
+        The era becomes known from the report of another daemon, as of a host that does
+        not follow the store.
+        """
+        for name, lost in (
+            ("gone", "all"),
+            ("older", "drain"),
+            ("of the copy", "nothing"),
+        ):
+
+            async def use_board(board, store, lost=lost):
+                def is_stored():
+                    return read_stored(store) == "draining"
+
+                copy = store.copy()
+                heartbeat(board)
+                board.hosts_listed.set()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(keep_entry, board)
+                    tasks.start_soon(keep_entry_restored, board)
+                    await wait_until(lambda: read_stored(store) == "ready", APPLY_S)
+                    if lost == "drain":
+                        copy = store.copy()
+                    heartbeat(board, "draining", 2)
+                    self.assertTrue(await wait_until(is_stored, APPLY_S))
+                    if lost == "nothing":
+                        copy = store.copy()
+                    write(store, "other", 1)
+                    await anyio.sleep(0.1)
+                    store.restore(copy)
+                    adopt_era(board, 2, "another")
+                    self.assertTrue(await wait_until(is_stored, APPLY_S))
+                    if lost == "nothing":
+                        await anyio.sleep(eras.CHECK_SPREAD_S + 0.2)
+                        self.assertEqual(store.revision, copy[2])
+                    tasks.cancel_scope.cancel()
+
+            with self.subTest(name):
+                run_with_board(use_board)
+
+    def test_write_that_does_not_know_the_era(self):
+        """Guards against an entry that other hosts take for one of the old era."""
+
+        async def use_board(board, store):
+            heartbeat(board)
+            self.assertTrue(await write_entry(board, board.make_entry()))
+            copy = store.copy()
+            for number in range(5):
+                write(store, f"lost{number}", 1)
+            store.restore(copy)
+            heartbeat(board, "draining", 2)
+            async with anyio.create_task_group() as tasks:
+                board.hosts_listed.set()
+                tasks.start_soon(keep_entry, board)
+
+                def is_stored():
+                    spec = store.objects[HOST_KIND, HOST]["spec"]
+                    return read_stored(store) == "draining" and spec["era"] == 2
+
+                self.assertTrue(await wait_until(is_stored, APPLY_S))
+                tasks.cancel_scope.cancel()
+
+        run_with_board(use_board)
+
+    def test_late_write_after_the_restore(self):
+        """Guards against an older entry that a write without an answer left behind.
+
+        The restored store has the revision that the late write expects.
+        """
+
+        async def use_board(board, store):
+            heartbeat(board)
+            self.assertTrue(await write_entry(board, board.make_entry()))
+            copy = store.copy()
+            late = store.objects[HOST_KIND, HOST]["spec"]
+            heartbeat(board, "draining", 2)
+            self.assertTrue(await write_entry(board, board.make_entry()))
+            store.restore(copy)
+            store.change(HOST_KIND, HOST, {**late, "late": True}, deleted=False)
+            board.hosts_listed.set()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keep_entry, board)
+                tasks.start_soon(keep_entry_restored, board)
+                adopt_era(board, 2, "another")
+                found = await wait_until(
+                    lambda: read_stored(store) == "draining", APPLY_S
+                )
+                self.assertTrue(found)
+                tasks.cancel_scope.cancel()
+
+        run_with_board(use_board)
+
+    def test_conditional_write_of_another_era(self):
+        """Guards against a lost drain where the expected revision matches by chance.
+
+        In the restored store another object has the revision that this host expects
+        of its entry, and the entry is older.
+        """
+
+        async def use_board(board, store):
+            heartbeat(board)
+            self.assertTrue(await write_entry(board, board.make_entry()))
+            copy = store.copy()
+            heartbeat(board, "draining", 2)
+            self.assertTrue(await write_entry(board, board.make_entry()))
+            store.restore(copy)
+            self.assertEqual(write(store, "far", 2), board.own_revision)
+            await check_own_entry(board)
+            self.assertTrue(board.entry_missing)
+            self.assertTrue(await write_entry(board, board.make_entry()))
+            self.assertEqual(read_stored(store), "draining")
+            (far,) = [v for (_, name), v in store.objects.items() if name == "far"]
+            self.assertEqual(far["spec"]["entry"][0], "far")
+
+        run_with_board(use_board)
+
+    def test_restart_with_the_older_entry(self):
+        """Guards against work for an upstream whose acknowledged drain was lost.
+
+        The daemon restarts before it has written its entry again; the others know the
+        drain.
+        """
+
+        async def use_store(store, port):
+            async with open_board(port) as board:
+                heartbeat(board)
+                await write_entry(board, board.make_entry())
+                copy = store.copy()
+                heartbeat(board, "draining", 2)
+                await write_entry(board, board.make_entry())
+                known = [board.own_position, HOST, encode_entry(board.make_entry())]
+            store.restore(copy)
+            for number in range(9):
+                write(store, f"new{number}", 2)
+            async with open_board(port) as board:
+                await read_hosts(board)
+                heartbeat(board)
+                receive_entries(board, [[known]])
+                self.assertEqual(board.upstream.status, "draining")
+                self.assertTrue(board.entry_missing)
+
+        run_with_store(use_store)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -31,6 +31,7 @@
     is_settled,
     log_listed,
     read_position,
+    settle_eras,
     watch_until_restored,
 )
 
@@ -119,11 +120,19 @@
 
 
 def apply_own_entry(board, found, entry):
-    """Apply this host's own entry as the store has it."""
+    """Apply this host's own entry as the store has it.
+
+    It is written again if this process wrote another one, or if a later one is known,
+    which a restored store has lost.
+    """
     restore_state(board, entry)
     board.own_era, board.own_revision = found.era, found.revision
     board.own_entry = entry
     position = read_position(found)
+    if position < board.own_position:
+        request_writing(board, "older")
+    elif entry.boot == board.boot and not are_equivalent(entry, board.make_entry()):
+        request_writing(board, "different")
     board.own_position = max(position, board.own_position)
 
 
@@ -132,14 +141,25 @@
 
     After a restart of this daemon the others may know a later entry than the store.
     """
-    if found.spec is None:
-        if read_position(found) >= board.own_position:
-            handle_removed_entry(board, found.name, read_position(found))
-        return
-    try:
-        restore_state(board, decode_entry(found.spec.get("entry")))
-    except ObjectInvalid as error:
-        board.log_change("entry-invalid", name=found.name, cause=str(error))
+    position = read_position(found)
+    if found.spec is not None:
+        try:
+            restore_state(board, decode_entry(found.spec.get("entry")))
+        except ObjectInvalid as error:
+            board.log_change("entry-invalid", name=found.name, cause=str(error))
+            return
+    if position > board.own_position:
+        board.own_position = position
+        if found.spec is None:
+            board.own_revision = None
+        request_writing(board, "forwarded")
+
+
+def request_writing(board, cause):
+    """Have this host's entry written again."""
+    board.entry_missing = True
+    board.entry_changed.set()
+    board.log_change("own-entry-outdated", cause=cause)
 
 
 def handle_removed_entry(board, name, position):
@@ -569,12 +589,44 @@
         return False
     record_own_object(board, found)
     board.log_change("entry-stored", state=entry.state, upstream=entry.upstream_id)
+    if is_era_outdated(board, era):
+        # Other hosts order entries by the era in which they were written.
+        request_writing(board, "era")
     return True
 
 
+def is_era_outdated(board, era):
+    """Return whether the store is in a later era than the one in a written entry.
+
+    At the first start of all hosts there is no entry of an earlier era.
+    """
+    if era is None and board.settings.is_first_start:
+        return False
+    return (board.store.era or 0) > (era or 0)
+
+
 def record_own_object(board, found):
     """Record which object the store has for this host, None for none."""
     board.own_revision = found.revision if found else None
     if found is not None:
         board.own_era = found.era
         board.own_position = max(board.own_position, read_position(found))
+
+
+async def check_own_entry(board):
+    """Read this host's entry, and have it written again if it is gone or older.
+
+    Raises
+    ------
+    PlatformUnavailable
+    """
+    found = await board.store.get_object(HOST_KIND, board.settings.host)
+    if found is None:
+        handle_removed_entry(board, board.settings.host, 0)
+    elif is_own_newer(board, found):
+        apply_host_entry(board, found)
+
+
+async def keep_entry_restored(board):
+    """Check this host's entry each time that the store was restored."""
+    await settle_eras(board, check_own_entry)
--- a/integration/test_restored_store.py
+++ b/integration/test_restored_store.py
@@ -91,5 +91,53 @@
         run_mesh(scenario)
 
 
+class TestEntries(unittest.TestCase):
+    """Entries of hosts in a restored store."""
+
+    def test_entries_are_written_again(self):
+        """Guards against hosts that stay unknown to daemons which start later.
+
+        One host of each zone does not follow the store.
+        """
+
+        async def scenario(mesh):
+            store = mesh.store
+            objects, history, _ = store.copy()
+            only_configuration = {
+                key: item for key, item in objects.items() if key[0] == "config"
+            }
+            store.restore((only_configuration, history[:1], 2))
+
+            async def are_stored():
+                found = [name for kind, name in store.objects if kind == HOST_KIND]
+                return len(found) == len(mesh.sidecars)
+
+            await wait_for(are_stored, REWRITE_S)
+
+        run_mesh(scenario, 6)
+
+    def test_drain_survives_a_restore_and_a_kill(self):
+        """Guards against work for an upstream whose acknowledged drain was lost."""
+
+        async def scenario(mesh):
+            store, first = mesh.store, mesh.sidecars[0]
+            copy = store.copy()
+            first.upstream.state = "draining"
+            await mesh.beat(first)
+            first.upstream.state = "gone"
+            store.restore(copy)
+            await asyncio.sleep(REWRITE_S)
+            await restart(mesh, first)
+            # A heartbeat sent before the drain arrives late.
+            first.upstream.state, first.upstream.beats = "ready", 0
+            await mesh.beat(first)
+            before = len(first.upstream.requests)
+            for _ in range(10):
+                await mesh.ask(first)
+            self.assertEqual(len(first.upstream.requests), before)
+
+        run_mesh(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
