Take an entry without fields for one of the first era

An entry of another writer whose spec is no table raised AttributeError where its era is read, which ended the task that follows the store again and again. The row 'no table' of test_eras_that_were_not_written_by_daemons failed before and passes now; the same test passes for seven other values without a change. Stale answers of the old era cost no more than one list a second: test_stale_answers_of_the_old_era passes without a change. Log lines give revisions as the store does.

--- a/egretlift/sidecar/eras.py
+++ b/egretlift/sidecar/eras.py
@@ -13,7 +13,7 @@
 import anyio
 
 from egretlift.errors import PlatformUnavailable
-from egretlift.membership.positions import make_position, split_position
+from egretlift.membership.positions import is_era, make_position, split_position
 
 # Pause before a daemon checks its own entry, at most: all daemons do so at once.
 CHECK_SPREAD_S = 0.5
@@ -70,8 +70,8 @@
     """
     era = found.era
     if found.spec is not None:
-        written = found.spec.get("era")
-        era = min(written, era) if type(written) is int and written >= 0 else 0
+        written = found.spec.get("era") if isinstance(found.spec, dict) else None
+        era = min(written, era) if is_era(written) else 0
     return make_position(era, found.revision)
 
 
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -226,15 +226,14 @@
         await anyio.sleep(REMOVAL_INTERVAL_S * (0.5 + board.random.random()))
         for peer in find_abandoned(board.ensure_directory().near, read_clock()):
             name = peer.entry.host
+            _, revision = split_position(peer.position)
             try:
-                removed = await board.store.delete_object(
-                    HOST_KIND, name, split_position(peer.position)[1]
-                )
+                removed = await board.store.delete_object(HOST_KIND, name, revision)
             except PlatformUnavailable as error:
                 board.log_change("entry-not-removed", peer=name, cause=str(error))
                 break
             event = "entry-removed" if removed else "entry-changed-meanwhile"
-            board.log_change(event, peer=name, position=peer.position)
+            board.log_change(event, peer=name, revision=revision)
 
 
 def is_follower(board):
@@ -375,7 +374,8 @@
             if objects and allow_stale:
                 await anyio.sleep(COALESCE_S)
         except HistoryGone:
-            board.log_change("history-gone", kind=kind, position=watch.position)
+            era, revision = split_position(watch.position)
+            board.log_change("history-gone", kind=kind, era=era, revision=revision)
             watch.position = None
         except PlatformUnavailable as error:
             # A store that was away may have been restored from an older copy.
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -95,7 +95,7 @@
         """Answer one HTTP call and state the era."""
         answer = await self.answer(request)
         if self.era is not None:
-            answer.headers["Store-Era"] = str(self.era)
+            answer.headers.setdefault("Store-Era", str(self.era))
         return answer
 
     async def answer(self, request):
