Remove entries that a restored store has brought back

The entry of a host that left in the lost seconds was in the store again and nothing removed it, so that daemons which started later called a host that no longer exists.

--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -101,6 +101,8 @@
         Watches in progress.
     removals : dict of str to int
         Position at which each host's entry was removed, the latest last.
+    returned_entries : dict of str to int
+        Revision of each entry that was removed and that a restored store has again.
     awaited_tokens : dict of str to Event
         For each organisation whose tokens are being requested: set when the request
         ends.
@@ -159,6 +161,7 @@
         "own_era",
         "own_position",
         "removals",
+        "returned_entries",
         "settled_era",
         "watch_scopes",
         "ending",
@@ -257,6 +260,7 @@
         self.listings_due = 0
         self.watch_scopes = set()
         self.removals = {}
+        self.returned_entries = {}
         self.entry_stored = anyio.Event()
         self.counter_stored = -1
         self.report_due = anyio.Event()
--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -3,6 +3,7 @@
 import unittest
 from contextlib import asynccontextmanager
 from functools import partial
+from unittest.mock import patch
 
 import anyio
 
@@ -25,6 +26,7 @@
     apply_newer_entries,
     check_own_entry,
     follow,
+    forget_hosts,
     keep_entry,
     keep_entry_restored,
     read_hosts,
@@ -310,7 +312,10 @@
         run_with_board(use_board)
 
     def test_entry_that_was_removed(self):
-        """Guards against a host that the copy brings back after it has left."""
+        """Guards against a host that the copy brings back after it has left.
+
+        Daemons that start later would learn of it from the store.
+        """
 
         async def use_board(board, store):
             write(store, "far", 1)
@@ -324,6 +329,12 @@
             watch.position = None
             apply_host_entries(board, *await read_next(board, watch))
             self.assertNotIn("far", board.peers)
+            with (
+                patch.object(watching, "REMOVAL_INTERVAL_S", 0.05),
+                anyio.move_on_after(0.5),
+            ):
+                await forget_hosts(board)
+            self.assertNotIn((HOST_KIND, "far"), store.objects)
             write(store, "far", 2)
             apply_host_entries(board, *await read_next(board, watch))
             self.assertIn("far", board.peers)
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -216,22 +216,43 @@
         handle_removed_entry(board, host, list_position)
 
 
+def detect_returned_entries(board, objects):
+    """Detect entries that were removed and that a restored store has again."""
+    board.returned_entries = {
+        found.name: found.revision
+        for found in objects
+        if found.name in board.removals
+        and found.name not in board.peers
+        and not is_newer(board, found)
+    }
+
+
+def list_outdated_entries(board):
+    """Return (host, revision) of the entries to remove from the store.
+
+    These are entries of hosts without reports for a long time, and those that a
+    restored store has brought back.
+    """
+    abandoned = find_abandoned(board.ensure_directory().near, read_clock())
+    found = {p.entry.host: split_position(p.position)[1] for p in abandoned}
+    return [*found.items(), *board.returned_entries.items()]
+
+
 async def forget_hosts(board):
-    """Remove entries of hosts without reports for a long time from the store.
+    """Remove outdated entries of hosts from the store.
 
-    Such a host may still run behind a long network partition; it writes its entry
-    again as soon as it notices that it is missing.
+    A host without reports may still run behind a long network partition; it writes its
+    entry again as soon as it notices that it is missing.
     """
     while True:
         await anyio.sleep(REMOVAL_INTERVAL_S * (0.5 + board.random.random()))
-        for peer in find_abandoned(board.ensure_directory().near, read_clock()):
-            name = peer.entry.host
-            _, revision = split_position(peer.position)
+        for name, revision in list_outdated_entries(board):
             try:
                 removed = await board.store.delete_object(HOST_KIND, name, revision)
             except PlatformUnavailable as error:
                 board.log_change("entry-not-removed", peer=name, cause=str(error))
                 break
+            board.returned_entries.pop(name, None)
             event = "entry-removed" if removed else "entry-changed-meanwhile"
             board.log_change(event, peer=name, revision=revision)
 
@@ -465,6 +486,7 @@
     """Apply entries of hosts from the store and forward the new ones to the zone."""
     if list_position is not None:
         detect_removed_entries(board, objects, list_position)
+        detect_returned_entries(board, objects)
     send_entries(board, apply_newer_entries(board, objects))
 
 
