Read the era of the store at least once a second

A follower would not have taken a confirmed version for up to 15 s if its watch of the configuration came to the restored store without a failed call before, and the counter had passed the revision of the watch: a call of the moment at which the store was away may be answered late. The answer that states the era comes with the next change.

The watch of host entries, which allows stale answers and costs a tenth, now waits for one second and so states the era; a later one ends the watch of the configuration. It remains that stale answers may be of the old era for some seconds.

--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -25,6 +25,9 @@
 CONNECT_TIMEOUT_S = 0.6
 # Longest time that the store keeps a watch open without an event.
 WATCH_WAIT_S = 15.0
+# The same for a watch that allows stale answers, which costs little. It shows soon that
+# the store was restored, where the other watch was kept open meanwhile.
+STALE_WATCH_WAIT_S = 1.0
 # Longer numbers are no eras.
 ERA_DIGITS = 18
 SOCKET_OPTIONS = (
@@ -194,9 +197,9 @@
     async def watch(self, kind, after, allow_stale=False):
         """Return (position, objects) that changed after a position.
 
-        Waits up to ``WATCH_WAIT_S`` for the first change; the list is empty if there
-        was none. The ``spec`` of a deleted object is None. For ``allow_stale`` see
-        `list_objects`.
+        Waits up to ``WATCH_WAIT_S``, or ``STALE_WATCH_WAIT_S``, for the first change;
+        the list is empty if there was none. The ``spec`` of a deleted object is None.
+        For ``allow_stale`` see `list_objects`.
 
         Raises
         ------
@@ -205,11 +208,12 @@
         PlatformUnavailable
         """
         expected_era, revision = split_position(after)
-        query = {"watch": revision, "wait_ms": int(1000 * WATCH_WAIT_S)}
+        wait_s = STALE_WATCH_WAIT_S if allow_stale else WATCH_WAIT_S
+        query = {"watch": revision, "wait_ms": int(1000 * wait_s)}
         if allow_stale:
             query["serializable"] = 1
         status, document, era = await self.send(
-            "GET", make_kind_path(kind), query=query, wait_s=WATCH_WAIT_S
+            "GET", make_kind_path(kind), query=query, wait_s=wait_s
         )
         if status == 410 or era != expected_era:
             raise HistoryGone
--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -50,6 +50,12 @@
     return store.revision
 
 
+def add_revisions(store, count):
+    """Raise the revision of the store by writes that concern no daemon."""
+    for number in range(count):
+        store.put("other", "object", {"number": number})
+
+
 def heartbeat(board, state="ready", sequence=1):
     """Let the upstream of a board state that it is ready or that it drains."""
     service = board.settings.service
@@ -125,6 +131,7 @@
         for name, keeps_watches, is_open, is_heard in (
             ("cut off", False, True, False),
             ("kept open, another daemon reports the era", True, True, True),
+            ("kept open, nobody reports the era", True, True, False),
             ("begun again later", False, False, False),
         ):
 
@@ -140,8 +147,7 @@
 
                 store.put(CONFIGURATION_KIND, "main", make_configuration(3))
                 copy = store.copy()
-                for number in range(20):
-                    write(store, f"lost{number}", 1)
+                add_revisions(store, 20)
                 store.keeps_watches = keeps_watches
                 apply = watching.apply_configuration_objects
                 follows = [True]
@@ -153,6 +159,13 @@
                         apply,
                         lambda: follows[0],
                     )
+                    tasks.start_soon(
+                        partial(follow, allow_stale=True),
+                        board,
+                        HOST_KIND,
+                        apply_host_entries,
+                        lambda: follows[0],
+                    )
                     await wait_until(lambda: board.read_version() == 3, APPLY_S)
                     follows[0] = is_open
                     if not is_open:
@@ -161,8 +174,7 @@
                         await wait_until(lambda: board.read_version() == 4, APPLY_S)
                     store.restore(copy)
                     store.put(CONFIGURATION_KIND, "main", make_configuration(9))
-                    for number in range(30):
-                        write(store, f"new{number}", 2)
+                    add_revisions(store, 30)
                     if is_heard:
                         adopt_era(board, 2, "another")
                     follows[0] = True
