Do not write an entry again that a stop is to remove

A daemon that stops removes its entry if its upstream has left; another daemon's news of that removal could have made it write the entry once more before its end. The row stopping=True of test_removal_that_another_daemon_reports failed before.

--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -494,6 +494,21 @@
 
         run_with_board(use_board)
 
+    def test_removal_that_another_daemon_reports(self):
+        """Guards against an own entry that stays removed, or is kept after a stop."""
+        for stopping in (False, True):
+
+            async def use_board(board, store, stopping=stopping):
+                heartbeat(board)
+                self.assertTrue(await write_entry(board, board.make_entry()))
+                board.stopping, board.entry_missing = stopping, False
+                removal = [make_position(1, store.revision + 1), HOST, None]
+                receive_entries(board, [[removal]])
+                self.assertEqual(board.entry_missing, not stopping)
+
+            with self.subTest(stopping=stopping):
+                run_with_board(use_board)
+
     def test_restart_with_the_older_entry(self):
         """Guards against work for an upstream whose acknowledged drain was lost.
 
--- a/egretlift/sidecar/watching.py
+++ b/egretlift/sidecar/watching.py
@@ -142,6 +142,9 @@
     After a restart of this daemon the others may know a later entry than the store.
     """
     position = read_position(found)
+    if found.spec is None and board.stopping:
+        # A host that leaves removes its entry at the end.
+        return
     if found.spec is not None:
         try:
             restore_state(board, decode_entry(found.spec.get("entry")))
