Bound positions to 18 digits

Other readers of JSON, and the daemons' own checks of whole numbers, take no longer ones; a revision beyond the bits would have changed the era.

--- a/egretlift/membership/positions.py
+++ b/egretlift/membership/positions.py
@@ -4,9 +4,11 @@
 one number, as the transaction identifiers of ZooKeeper do, and is 0 for "not stored".
 """
 
-REVISION_BITS = 48
-# An era above this bound, or a revision that needs more bits, is not used.
-ERA_MAXIMUM = 2**32
+# Positions have at most 18 digits, so that every JSON reader takes them for whole
+# numbers: 400 changes a second reach the largest revision after 87 years.
+REVISION_BITS = 40
+REVISION_MAXIMUM = 2**REVISION_BITS - 1
+ERA_MAXIMUM = 2**19
 
 
 def make_position(era, revision):
@@ -16,15 +18,17 @@
     --------
     >>> make_position(2, 7) > make_position(1, 9), make_position(0, 9)
     (True, 9)
+    >>> make_position(ERA_MAXIMUM, REVISION_MAXIMUM + 1) < 10**18
+    True
     >>> split_position(make_position(2, 7))
     (2, 7)
     """
-    return (era << REVISION_BITS) | revision
+    return (era << REVISION_BITS) + min(revision, REVISION_MAXIMUM)
 
 
 def split_position(position):
     """Return (era, revision) of a position."""
-    return position >> REVISION_BITS, position & (2**REVISION_BITS - 1)
+    return position >> REVISION_BITS, position & REVISION_MAXIMUM
 
 
 def is_era(value):
