--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """The state of a daemon when the store comes back from an older copy of itself."""
 
 import unittest
+import zlib
 from contextlib import asynccontextmanager
 from functools import partial
 from unittest.mock import patch
@@ -45,7 +46,9 @@
 
 def write(store, name, era, **changes):
     """Write a host's entry that states an era, and return its revision."""
-    entry = make_entry(name, zone="other", address=f"address of {name}", **changes)
+    number = zlib.crc32(name.encode()) % 2**16
+    address = f"10.1.{number // 256}.{number % 256}"
+    entry = make_entry(name, zone="other", address=address, **changes)
     store.put(HOST_KIND, name, {"entry": encode_entry(entry), "era": era})
     return store.revision
 
