--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from egretlift.membership.peers import encode_entry
+from egretlift.membership.peers import decode_entry, encode_entry
 from egretlift.membership.positions import make_position
 from egretlift.membership.tests.test_peers import make_entry
 from egretlift.membership.upstream import Announcement, accept_announcement
@@ -119,7 +119,7 @@
 def read_stored(store):
     """Return the state of the upstream in this host's entry in the store."""
     item = store.objects.get((HOST_KIND, HOST))
-    return watching.decode_entry(item["spec"]["entry"]).state if item else None
+    return decode_entry(item["spec"]["entry"]).state if item else None
 
 
 class TestChanges(unittest.TestCase):
