--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -15,6 +15,7 @@
 )
 from egretlift.errors import ObjectInvalid
 from egretlift.load import decode_load, encode_load
+from egretlift.membership.positions import is_era
 from egretlift.membership.upstream import READY
 
 # A host counts as silent after this many report intervals without a report.
@@ -140,6 +141,8 @@
         Load of the upstream.
     store_served : bool or None
         Whether the store serves the host; None if the host has not called it recently.
+    store_era : int or None
+        Latest era of the store that the host knows, None for none.
     """
 
     __slots__ = (
@@ -149,11 +152,12 @@
         "host",
         "load",
         "number",
+        "store_era",
         "store_served",
         "version",
     )
 
-    def __init__(self, entry, number, version, load, store_served=None):
+    def __init__(self, entry, number, version, load, store_served=None, store_era=None):
         self.entry = entry
         self.host = entry.host
         self.boot = entry.boot
@@ -162,11 +166,12 @@
         self.version = version
         self.load = load
         self.store_served = store_served
+        self.store_era = store_era
 
 
 # Values that stand for the entry in a short report: host, boot and counter.
 REFERENCE_FIELDS = 3
-REPORT_FIELDS = 5
+REPORT_FIELDS = 6
 
 
 def encode_report(report, is_short=False):
@@ -183,6 +188,7 @@
         report.version,
         encode_load(report.load),
         report.store_served,
+        report.store_era,
     ]
 
 
@@ -196,7 +202,7 @@
     """
     if not isinstance(document, list) or len(document) != REPORT_FIELDS:
         raise ObjectInvalid(f"report: {document!r:.200}", REMEDY)
-    values, number, version, load, store_served = document
+    values, number, version, load, store_served, store_era = document
     if not is_integer(number) or not is_integer(version):
         raise ObjectInvalid(f"report: number and version are {document[1:3]!r}", REMEDY)
     found = decode_load(load)
@@ -204,9 +210,11 @@
         raise ObjectInvalid(f"report: load is {load!r:.100}", REMEDY)
     if store_served is not None and not is_flag(store_served):
         raise ObjectInvalid(f"report: store is {store_served!r:.100}", REMEDY)
+    if store_era is not None and not is_era(store_era):
+        raise ObjectInvalid(f"report: era is {store_era!r:.100}", REMEDY)
     is_short = isinstance(values, list) and len(values) == REFERENCE_FIELDS
     entry = decode_entry_reference(values) if is_short else decode_entry(values)
-    report = Report(entry, number, version, found, store_served)
+    report = Report(entry, number, version, found, store_served, store_era)
     if is_short:
         report.entry = None
     return report
@@ -268,8 +276,9 @@
         See `Report`.
     successive_failures : int
         Ejections since the last report or answer.
-    revision : int
-        Store revision of the entry, 0 if the store does not hold one.
+    position : int
+        Position of the entry among the changes of the store, 0 if the store does not
+        hold one; see `egretlift.membership.positions`.
     removed : bool
         Whether the entry was deleted from the store.
     """
@@ -285,8 +294,8 @@
         "load_at",
         "number",
         "outstanding",
+        "position",
         "removed",
-        "revision",
         "sent",
         "store_served",
         "successive_failures",
@@ -307,14 +316,14 @@
         self.version = 0
         self.store_served = None
         self.successive_failures = 0
-        self.revision = 0
+        self.position = 0
         self.removed = False
         self.sent = 0
         self.failed = 0.0
         self.failed_at = now
 
 
-def merge_stored_entry(peers, entry, revision, now, interval_s):
+def merge_stored_entry(peers, entry, position, now, interval_s):
     """Merge an entry read from the store; return whether the host is new.
 
     While reports of the host arrive, the reported entry is kept, since the stored one
@@ -324,11 +333,11 @@
     peer = peers.get(entry.host)
     if peer is None:
         peer = peers[entry.host] = Peer(entry, now)
-        peer.revision = revision
+        peer.position = position
         remove_predecessors(peers, entry)
         return True
-    if revision > peer.revision:
-        peer.revision = revision
+    if position > peer.position:
+        peer.position = position
         peer.removed = False
         if is_newer(entry, peer.entry) or not is_reporting(peer, now, interval_s):
             peer.entry = entry
@@ -410,7 +419,7 @@
     return [
         peer
         for peer in peers
-        if peer.revision
+        if peer.position
         and peer.discovered_at < oldest
         and (peer.last_report_at is None or peer.last_report_at < oldest)
     ]
@@ -425,7 +434,7 @@
     return [
         peer
         for peer in peers.values()
-        if (peer.removed or (peer.entry.stopping and not peer.revision))
+        if (peer.removed or (peer.entry.stopping and not peer.position))
         and not is_reporting(peer, now, interval_s)
     ]
 
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -73,19 +73,39 @@
         This host's entry in the store when it was last read from there.
     own_revision : int or None
         Store revision of this host's entry, None if no stored entry is known.
+    own_era : int
+        Era of the store in which the entry had this revision.
+    own_position : int
+        Latest position of this host's entry, 0 for none.
     follower_role : FollowerRole
         Since when this host has been chosen to follow the store for its zone.
     store_ok : bool or None
         Whether the store serves this host; None if it was not called recently.
+    store_era : int or None
+        Latest known era of the store, see `egretlift.sidecar.eras`; None before the
+        first answer of the store that states one.
     store_lost_at : float
         Clock reading, in seconds, when a call to the store last failed.
     datagrams : DatagramTransport or None
         Sends datagrams to other daemons; None while the socket is closed.
     entry_missing : bool
-        Whether this host's entry was removed from the store by another daemon.
-    invalid_entries : dict of str to int
-        Revision of each invalid entry that was logged, by the name in the store; see
-        `egretlift.sidecar.entries`.
+        Whether this host's entry must be written again: it was removed from the store,
+        or the store holds an older one.
+    invalid_entries : dict of str to (int, int)
+        Era and revision of each invalid entry that was logged, by the name in the
+        store; see `egretlift.sidecar.entries`.
+    era_changed : Event
+        Set when the store has come to a later era.
+    settled_era : int or None
+        Latest era in which all hosts had time to write their entries.
+    listings_due : int
+        Increases each time that the followed objects must be listed again.
+    watch_scopes : set of CancelScope
+        Watches in progress.
+    removals : dict of str to int
+        Position at which each host's entry was removed, the latest last.
+    returned_entries : dict of str to int
+        Revision of each entry that was removed and that a restored store has again.
     awaited_tokens : dict of str to Event
         For each organisation whose tokens are being requested: set when the request
         ends.
@@ -139,6 +159,14 @@
         "directory",
         "follower_role",
         "end_at",
+        "era_changed",
+        "listings_due",
+        "own_era",
+        "own_position",
+        "removals",
+        "returned_entries",
+        "settled_era",
+        "watch_scopes",
         "ending",
         "entry_changed",
         "entry_missing",
@@ -173,6 +201,7 @@
         "statements",
         "stopping",
         "store",
+        "store_era",
         "store_lost_at",
         "store_ok",
         "upstream",
@@ -188,6 +217,7 @@
         self.dialect = dialect
         self.store = store
         self.store_ok = None
+        self.store_era = None
         self.store_lost_at = 0.0
         self.follower_role = FollowerRole()
         self.datagrams = None
@@ -216,6 +246,8 @@
         self.own_failure_share_at = 0.0
         self.own_entry = None
         self.own_revision = None
+        self.own_era = 0
+        self.own_position = 0
         self.open_requests = 0
         self.stopping = False
         self.leaving = False
@@ -228,6 +260,12 @@
         self.entry_changed = anyio.Event()
         self.entry_missing = False
         self.invalid_entries = {}
+        self.era_changed = anyio.Event()
+        self.settled_era = None
+        self.listings_due = 0
+        self.watch_scopes = set()
+        self.removals = {}
+        self.returned_entries = {}
         self.entry_stored = anyio.Event()
         self.counter_stored = -1
         self.report_due = anyio.Event()
@@ -358,11 +396,11 @@
             self.directory = arrange_hosts(self.peers, settings.host, settings.zone)
         return self.directory
 
-    def register_host(self, entry, revision):
+    def register_host(self, entry, position):
         """Register a host's entry and return whether the host was unknown.
 
-        ``revision`` is that of the entry in the store, or 0 if the entry came from
-        another daemon that knows no revision.
+        ``position`` is that of the entry in the store, or 0 if the entry came from
+        another daemon that knows none.
         """
         known = self.peers.get(entry.host)
         previous = known and known.entry
@@ -370,7 +408,7 @@
         # the directory for each of the hosts that are registered at the start.
         interval_s = self.report_interval_s() if known else 0.0
         is_new = merge_stored_entry(
-            self.peers, entry, revision, read_clock(), interval_s
+            self.peers, entry, position, read_clock(), interval_s
         )
         self.invalidate_directory(previous, entry)
         return is_new
