Log and count the content of calls whose connection breaks

Query of death: the logs did not tell what the calls had in common that were running when an upstream ended. The line upstream-broke now has the number of running calls and a digest of method, host, target, organisation and body, which is the same when a caller returns. Logic is unchanged.

--- a/egretlift/serving/call.py
+++ b/egretlift/serving/call.py
@@ -1,5 +1,7 @@
 """A call that a daemon handles, and the context header that passes it on."""
 
+from egretlift.admission.quarantine import make_fingerprint
+
 
 class Call:
     """A request of a caller or of an upstream that has passed the checks.
@@ -48,6 +50,8 @@
         Whether the caller seems to retry after a refusal.
     is_sent : bool
         Whether an upstream may have received the call.
+    fingerprint : str
+        Digest of the content; empty until `ensure_fingerprint` computes it.
     served_by : str
         Host to which the call was sent last; empty if there was none.
     """
@@ -57,6 +61,7 @@
         "body",
         "caller_service",
         "deadline",
+        "fingerprint",
         "headers",
         "idempotent",
         "is_inner",
@@ -86,10 +91,25 @@
         self.is_sent = False
         self.parent_id = ""
         self.served_by = ""
+        self.fingerprint = ""
         for name, value in values.items():
             setattr(self, name, value)
 
 
+def ensure_fingerprint(call):
+    """Return the digest of a call's content, computed at first use.
+
+    Callers that return with a request give it another identifier and deadline; the rest
+    of what is digested stays the same.
+    """
+    if not call.fingerprint:
+        host = next((v for name, v in call.headers if name.lower() == "host"), "")
+        call.fingerprint = make_fingerprint(
+            (call.method, host, call.target, call.organisation or ""), call.body
+        )
+    return call.fingerprint
+
+
 # Fields of a call that another daemon needs, in the order of the context header. The
 # remaining time comes first; it is relative, as the clocks of hosts differ.
 CONTEXT_FLAGS = ("repeated", "of_repeat", "is_inner", "returned")
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -14,6 +14,7 @@
     record_first_arrival,
     record_repeated_arrival,
 )
+from egretlift.serving.call import ensure_fingerprint
 from egretlift.serving.checks import ROUTE_RANKS
 from egretlift.serving.dependencies import find_limited_dependency, record_route_calls
 from egretlift.serving.parents import end_call, start_call
@@ -199,7 +200,7 @@
         mark_unreachable(board, upstream_id)
         return refuse("unreachable")
     except ExchangeBroken as error:
-        board.log("upstream-broke", call, cause=str(error))
+        log_broken_call(board, call, str(error))
         return answer_unknown("upstream-broke", 502)
     if received is None:
         return answer_unknown("deadline", 504)
@@ -208,6 +209,18 @@
     return classify_response(board, received)
 
 
+def log_broken_call(board, call, cause):
+    """Log and count a call whose connection to the upstream broke, with its content."""
+    board.count("upstream_broken_calls")
+    board.log(
+        "upstream-broke",
+        call,
+        cause=cause,
+        fingerprint=ensure_fingerprint(call),
+        running=board.slots.running,
+    )
+
+
 def log_unusual_answer(board, call, received):
     """Log and count an answer that ended with its connection or came after others."""
     if not received.framed:
