Quarantine requests under which upstreams have ended

Cause: it returns under a new identifier each time and to any host, and nothing told one from the next, nor one daemon from another that its upstream had ended under it.

A daemon now finds out at once whether its upstream has ended when a connection breaks (no listener, or a successor that was not announced), and suspects the content of the calls that it was running. The daemons of a service tell one another, as sets of ends that are merged. A suspect that completes anywhere is acquitted, and ends up to ten seconds after a completion are no evidence, so that requests that run everywhere are not suspected when many upstreams end at once. After two ends a suspect runs on one host only, one at a time, so that the third end tells the cause from what ran beside it; after three it is refused with 503 and a Retry-After of a minute, and then tried again by one host.

--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -4,6 +4,7 @@
 
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
+from egretlift.admission.quarantine import end_suspect, start_suspect
 from egretlift.admission.upstream_limit import compute_rate
 from egretlift.clock import read_clock
 from egretlift.membership.upstream import may_serve, refusal_reason
@@ -26,6 +27,12 @@
 )
 from egretlift.serving.starts import schedule_start
 from egretlift.serving.statements import read_statements
+from egretlift.serving.upstream_ends import (
+    judge_call,
+    mark_unreachable,
+    record_broken_call,
+    record_ended_call,
+)
 from egretlift.transport.exchange import (
     ExchangeBroken,
     NotSent,
@@ -51,6 +58,9 @@
     """
     if not may_serve(board.upstream):
         return refuse(refusal_reason(board.upstream))
+    suspicion = judge_call(board, call)
+    if suspicion:
+        return refuse(suspicion)
     now = read_clock()
     if not call.is_inner:
         route_admission = board.ensure_route_admission(call.route)
@@ -136,13 +146,21 @@
         return refuse(refusal_reason(upstream))
     if call.deadline - now < MIN_REMAINING_S:
         return refuse("deadline")
+    # Other daemons may have told of ends while the call waited for its slot.
+    suspicion = judge_call(board, call)
+    if suspicion:
+        return refuse(suspicion)
+    is_isolated = start_suspect(board.quarantine, call.fingerprint)
     running = start_call(board.running_calls, call)
     remaining_s = max(MIN_REMAINING_S, running.expires_at - now)
     try:
         answer = await send_to_upstream(board, call, remaining_s)
     finally:
         end_call(board.running_calls, running)
+        if is_isolated:
+            end_suspect(board.quarantine)
     ended_at = read_clock()
+    record_ended_call(board, call, answer)
     if answer.outcome is Outcome.WHOLE:
         admission.release_slot(board.slots, slot_request, ended_at, ended_at - now)
     elif answer.reached:
@@ -201,6 +219,7 @@
         return refuse("unreachable")
     except ExchangeBroken as error:
         log_broken_call(board, call, str(error))
+        record_broken_call(board, call, current)
         return answer_unknown("upstream-broke", 502)
     if received is None:
         return answer_unknown("deadline", 504)
@@ -238,20 +257,6 @@
     return "nested" if call.is_inner else "first"
 
 
-def mark_unreachable(board, upstream_id):
-    """Stop using the upstream until its next heartbeat and refuse waiting calls.
-
-    Does nothing if the upstream has been replaced by another in the meantime.
-    """
-    current = board.upstream.current
-    if current is None or current.upstream_id != upstream_id:
-        return
-    board.upstream.silent = True
-    board.log_change("upstream-unreachable", upstream=upstream_id)
-    admission.refuse_waiting(board.slots, "unreachable")
-    board.mark_entry_changed()
-
-
 def keeps_connection(board, received):
     """Return whether the upstream's connection may be used after a response.
 
--- a/egretlift/serving/refusals.py
+++ b/egretlift/serving/refusals.py
@@ -5,6 +5,8 @@
 
 # Reason of refusals because of the organisation's rate limit.
 RATE = "rate"
+# Reason of refusals of a request under which several upstreams have ended.
+QUARANTINED = "quarantined"
 # Reasons of failures that were caused by a nested call.
 NESTED_FAILURE = "deeper"
 NESTED_OVERLOAD = "deeper-overload"
@@ -16,7 +18,7 @@
 )
 # Reasons after which the call is not sent to another host, as it would fail there too.
 FINAL_REASONS = frozenset(
-    ("repeat-budget", "pressure", NESTED_FAILURE, NESTED_OVERLOAD)
+    ("repeat-budget", "pressure", QUARANTINED, NESTED_FAILURE, NESTED_OVERLOAD)
 )
 # Seconds after which a refused caller should retry: minimum, and width of the random
 # spread that is added.
@@ -25,6 +27,7 @@
 RATE_RETRY_AFTER_S = 1.0
 RETRY_AFTER_MAXIMUM_S = 5.0
 PRESSURE_RETRY_AFTER_S = 0.7
+QUARANTINE_RETRY_AFTER_S = 60.0
 
 REMEDIES = {
     "overload": "retry after the stated time; the service is overloaded",
@@ -39,6 +42,8 @@
     "upstream-refused": "retry after the stated time; the upstream refused the call",
     "upstream-limit": "retry after the stated time; the service takes fewer requests",
     "repeat-budget": "retry after the stated time; the budget of repeats is used up",
+    QUARANTINED: "do not send it again soon; hosts have ended while they ran it",
+    "isolated": "retry after the stated time; hosts have ended while they ran it",
     RATE: "send fewer requests; the organisation's rate is used up",
     "pressure": "retry after the stated time; a dependency is overloaded",
 }
@@ -89,8 +94,10 @@
     Under a rate limit it is not before the calls that wait now have started, since the
     call would only wait behind them or be refused again.
     """
-    base_s = {RATE: RATE_RETRY_AFTER_S, "pressure": PRESSURE_RETRY_AFTER_S}.get(
-        answer.reason, RETRY_AFTER_S
-    )
+    base_s = {
+        RATE: RATE_RETRY_AFTER_S,
+        "pressure": PRESSURE_RETRY_AFTER_S,
+        QUARANTINED: QUARANTINE_RETRY_AFTER_S,
+    }.get(answer.reason, RETRY_AFTER_S)
     base_s = max(base_s, min(answer.free_after_s, RETRY_AFTER_MAXIMUM_S))
     return base_s + RETRY_AFTER_SPREAD_S * random.random()
--- a/egretlift/serving/tests/test_offers.py
+++ b/egretlift/serving/tests/test_offers.py
@@ -80,6 +80,8 @@
             ("timed out", answer_unknown("deadline", 504), {}, 1, False),
             ("paced", refuse("pressure"), {}, 0, False),
             ("budget used up", refuse("repeat-budget"), {}, 1, False),
+            ("quarantined", refuse("quarantined"), {}, 0, False),
+            ("isolated", refuse("isolated"), {}, 0, True),
             ("too late", refuse("overload"), {"deadline": read_clock()}, 0, False),
         ):
             with self.subTest(name):
@@ -97,6 +99,8 @@
             ("one frees sooner", [("upstream-limit", t) for t in (2, 1, 3)], 1.0, 1.5),
             ("one away", [("upstream-limit", 1.2), ("unconnected", 0.0)], 1.2, 1.7),
             ("very low limit", [("upstream-limit", 60.0)], 5.0, 5.5),
+            ("quarantined", [("quarantined", 0.0)], 60.0, 60.5),
+            ("isolated", [("isolated", 0.0)], 0.25, 0.75),
         ):
             with self.subTest(name):
                 kept = None
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -7,6 +7,7 @@
 import anyio
 
 from egretlift.admission.pace import CallerTimeouts, RouteAdmission
+from egretlift.admission.quarantine import Quarantine
 from egretlift.admission.slots import Slots
 from egretlift.admission.upstream_limit import (
     compute_rate,
@@ -93,6 +94,14 @@
     statements : dict of str to Statement
         What upstreams stated in answers that this daemon has passed on; see
         `egretlift.membership.statements`.
+    quarantine : Quarantine
+        Requests that are suspected of ending upstreams of this host's service.
+    changed_suspects : set of str
+        Fingerprints of which the other daemons of the service are to be told.
+    suspects_due : Event
+        Set to wake the task that tells them.
+    upstream_check : Task or None
+        Finds out whether the upstream has ended after connections to it broke.
     start_timer : TimerHandle or None
         Starts the next waiting call when the rate limit of the upstream allows it.
     running_calls : RunningCalls
@@ -127,6 +136,7 @@
         "arrivals",
         "awaited_tokens",
         "boot",
+        "changed_suspects",
         "configuration",
         "counter",
         "counter_stored",
@@ -157,6 +167,7 @@
         "peer_pool",
         "peers",
         "local_tokens",
+        "quarantine",
         "random",
         "refusing",
         "report_due",
@@ -171,7 +182,9 @@
         "store",
         "store_lost_at",
         "store_ok",
+        "suspects_due",
         "upstream",
+        "upstream_check",
         "upstream_pool",
         "view",
         "caller_timeouts",
@@ -195,6 +208,10 @@
         self.slots = Slots()
         self.start_timer = None
         self.statements = {}
+        self.quarantine = Quarantine()
+        self.changed_suspects = set()
+        self.suspects_due = anyio.Event()
+        self.upstream_check = None
         self.running_calls = RunningCalls()
         self.route_admissions = {}
         self.caller_timeouts = CallerTimeouts()
@@ -280,6 +297,16 @@
         self.entry_changed.set()
         self.report_due.set()
 
+    def share_suspects(self, fingerprints):
+        """Tell the other daemons of the service about suspects, as soon as possible."""
+        self.changed_suspects.update(fingerprints)
+        self.suspects_due.set()
+
+    def list_service_peers(self):
+        """Return the other known hosts of this host's service."""
+        hosts = self.ensure_directory().services.get(self.settings.service)
+        return [*hosts.near, *hosts.far, *hosts.rest] if hosts else []
+
     def state_upstream(self):
         """Return what this host's upstream states, None if it is nothing unusual."""
         current = self.upstream.current
--- a/egretlift/sidecar/datagrams.py
+++ b/egretlift/sidecar/datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams between daemons: reports, usage of rates, and host entries.
+"""Datagrams between daemons: reports, usage of rates, host entries and suspects.
 
 A datagram is a JSON list of its kind and a list of values, which depend on the kind.
 """
@@ -11,6 +11,7 @@
 REPORT = "report"
 RATES = "rates"
 HOSTS = "hosts"
+SUSPECTS = "suspects"
 REMEDY = "send a list of a known kind and its values"
 
 
@@ -37,7 +38,7 @@
         kind, values = json.loads(data)
     except (TypeError, ValueError, RecursionError) as error:
         raise ObjectInvalid(f"datagram: {error!r:.200}", REMEDY) from error
-    if kind not in (REPORT, RATES, HOSTS) or not isinstance(values, list):
+    if kind not in (REPORT, RATES, HOSTS, SUSPECTS) or not isinstance(values, list):
         raise ObjectInvalid(f"datagram: kind is {kind!r:.100}", REMEDY)
     return kind, values
 
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -6,15 +6,16 @@
 from egretlift.admission.upstream_limit import UpstreamLimit
 from egretlift.clock import read_clock
 from egretlift.errors import AnnouncementInvalid
-from egretlift.membership.statements import name_incarnation
 from egretlift.membership.upstream import (
     DRAINING,
     GONE,
+    READY,
     accept_announcement,
     record_departure,
 )
 from egretlift.platform.heartbeats import decode_heartbeat
 from egretlift.platform.names import READINESS_PATH, UPSTREAMS_PATH
+from egretlift.serving.upstream_ends import name_upstream, record_upstream_end
 from egretlift.transport.http_messages import Response, make_json_response
 
 # Longest time that the acknowledgement of a leaving upstream waits for the store.
@@ -56,6 +57,7 @@
     """Update the state of the upstream from a heartbeat, and publish a change."""
     state = board.upstream
     was_silent = state.silent
+    before, was_ready = state.current, state.status == READY
     now = read_clock()
     changed = accept_announcement(state, announcement, board.settings.service, now)
     if not changed and state.silent == was_silent:
@@ -70,11 +72,13 @@
         born=announcement.born,
         beat=announcement.sequence,
     )
+    if was_ready and name_upstream(before) != name_upstream(announcement):
+        record_upstream_end(board, before)
     if state.status == DRAINING:
         await disable_upstream(board, DRAINING)
         return
     set_slot_count(board.slots, announcement.slots)
-    upstream = name_incarnation(announcement.upstream_id, announcement.born)
+    upstream = name_upstream(announcement)
     if board.slots.rate_limit.upstream != upstream:
         board.slots.rate_limit = UpstreamLimit(upstream)
     board.mark_entry_changed()
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -27,6 +27,7 @@
 from egretlift.sidecar.peers import handle_peer
 from egretlift.sidecar.rates import send_rates
 from egretlift.sidecar.reporting import send_reports
+from egretlift.sidecar.suspects import share_suspects
 from egretlift.sidecar.watching import (
     follow_configuration,
     follow_hosts,
@@ -61,6 +62,7 @@
     forget_hosts,
     send_reports,
     send_rates,
+    share_suspects,
     fetch_configuration,
     fetch_hosts,
 )
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -12,10 +12,13 @@
     "answers": "Answers given, by outcome and reason",
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
+    "quarantines": "Requests quarantined, as known on this host",
     "store_calls": "Calls to the store",
     "unframed_answers": "Whole answers that ended with their connection",
     "upstream_broken_calls": "Requests whose connection to the upstream broke",
     "upstream_connections": "Connections opened to the upstream",
+    "suspects_refused": "Requests refused as suspects, by reason",
+    "upstream_ends": "Ends of the upstream while it was running calls",
     "upstream_requests": "Requests sent to the upstream, by kind",
 }
 
@@ -66,6 +69,7 @@
         "configuration_version": board.configuration.version
         if board.configuration
         else 0,
+        "suspects": len(board.quarantine.suspects),
         "store_served": int(bool(board.store_ok)),
         "upstream_rate_limit": get_stated_rate(board.slots.rate_limit) or 0,
     }
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -17,11 +17,13 @@
     HOSTS,
     RATES,
     REPORT,
+    SUSPECTS,
     DatagramProtocol,
     encode_datagram,
     send_datagram,
 )
 from egretlift.sidecar.rates import receive_usage, refill_quotas
+from egretlift.sidecar.suspects import receive_suspects
 from egretlift.sidecar.watching import receive_entries, remove_departed_hosts
 
 # A change is reported at once, but reports are at least this far apart, in seconds.
@@ -57,7 +59,12 @@
         board.fetch_due.set()
 
 
-HANDLERS = {REPORT: receive_report, RATES: receive_usage, HOSTS: receive_entries}
+HANDLERS = {
+    REPORT: receive_report,
+    RATES: receive_usage,
+    HOSTS: receive_entries,
+    SUSPECTS: receive_suspects,
+}
 
 
 def make_report(board, number):
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -22,6 +22,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 KEY = "key-of-northlight"
 START_TIMEOUT_S = 15.0
+# Time for which an upstream runs a deadly request, and until it has started again.
+DEADLY_AFTER_S = 0.03
+RESTART_S = 0.5
 COLUMNS = [
     "name",
     "host",
@@ -78,6 +81,14 @@
         Requests a second that its answers state as its limit, None for no limit.
     is_leaving : bool
         Whether its answers state that it leaves.
+    deadly_path : str
+        Path whose requests end the upstream shortly after their arrival.
+    ends : int
+        How often the upstream has ended in this way.
+    has_ended : asyncio.Event
+        Set when it ends; see `SidecarMesh.restart_upstreams`.
+    connections : set of asyncio.Transport
+        Connections over which requests came.
     beats : int
         Sequence number of the last heartbeat.
     born : int
@@ -95,6 +106,10 @@
         self.behaviour = "serve"
         self.rate_limit = None
         self.is_leaving = False
+        self.deadly_path = ""
+        self.ends = 0
+        self.has_ended = asyncio.Event()
+        self.connections = set()
         self.beats = 0
         self.state = "ready"
         self.born = int(1000 * time.time())
@@ -115,6 +130,10 @@
             headers["X-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
         self.requests.append((time.monotonic(), request.headers.copy()))
+        self.connections.add(request.transport)
+        if request.path == self.deadly_path:
+            await asyncio.sleep(DEADLY_AFTER_S)
+            self.end()
         await request.read()
         if self.behaviour == "slow":
             await asyncio.sleep(self.slow_s)
@@ -128,6 +147,15 @@
         status = 500 if failed else 200
         return web.Response(status=status, text=request.path, headers=headers)
 
+    def end(self):
+        """End the process: reset all connections."""
+        if not self.has_ended.is_set():
+            self.ends += 1
+            self.has_ended.set()
+            for transport in self.connections:
+                transport.abort()
+            self.connections.clear()
+
     async def make_call(self, request):
         """Make one call on behalf of a request and return its status."""
         started = time.monotonic()
@@ -269,13 +297,29 @@
             web.Server(upstream.handle), shutdown_timeout=0.1
         )
         await sidecar.runner.setup()
-        await web.TCPSite(sidecar.runner, "127.0.0.1", sidecar.ports[4]).start()
+        site = web.TCPSite(sidecar.runner, "127.0.0.1", sidecar.ports[4])
+        await site.start()
         self.tasks.append(asyncio.create_task(self.send_heartbeats(sidecar)))
+        self.tasks.append(asyncio.create_task(self.restart_upstream(sidecar, site)))
+
+    async def restart_upstream(self, sidecar, site):
+        """Start an upstream again, under another identifier, each time it has ended."""
+        upstream = sidecar.upstream
+        while True:
+            await upstream.has_ended.wait()
+            await site.stop()
+            await asyncio.sleep(RESTART_S)
+            site = web.TCPSite(sidecar.runner, "127.0.0.1", sidecar.ports[4])
+            await site.start()
+            upstream.upstream_id += "x"
+            upstream.born = int(1000 * time.time())
+            upstream.has_ended.clear()
 
     async def send_heartbeats(self, sidecar):
         """Send heartbeats to the daemon until the upstream's state is ``gone``."""
         while sidecar.upstream.state != "gone":
-            await self.beat(sidecar)
+            if not sidecar.upstream.has_ended.is_set():
+                await self.beat(sidecar)
             await asyncio.sleep(0.2)
 
     async def beat(self, sidecar):
