--- a/egretlift/admission/quarantine.py
+++ b/egretlift/admission/quarantine.py
@@ -14,8 +14,8 @@
 from hashlib import blake2b
 
 FINGERPRINT_BYTES = 8
-# Bytes of a body that are digested, besides its length: a digest takes a millisecond
-# for each megabyte.
+# Bytes of a body that are digested, besides its length. More would delay other calls: a
+# digest takes up to two milliseconds for each megabyte.
 DIGESTED_BODY_BYTES = 64 * 1024
 # Calls whose connections broke so many seconds before their upstream was found to have
 # ended were running at its end.
