Break off the running calls of a quarantined request

Query of death. The daemon now closes the connection of such a call, on which most upstreams drop it, and answers 502 (unknown), as it may have run. Calls that are only isolated go on, since most of them are harmless.

--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import anyio
+
 from egretlift.admission import slots as admission
 from egretlift.admission.pace import record_finished, should_admit
 from egretlift.admission.quarantine import end_suspect, start_suspect
@@ -22,6 +24,7 @@
 from egretlift.serving.refusals import (
     NESTED_FAILURE,
     NESTED_OVERLOAD,
+    QUARANTINED,
     answer_unknown,
     refuse,
 )
@@ -153,12 +156,16 @@
     is_isolated = start_suspect(board.quarantine, call.fingerprint)
     running = start_call(board.running_calls, call)
     remaining_s = max(MIN_REMAINING_S, running.expires_at - now)
+    answer = None
     try:
-        answer = await send_to_upstream(board, call, remaining_s)
+        with anyio.CancelScope() as running.cancel_scope:
+            answer = await send_to_upstream(board, call, remaining_s)
     finally:
         end_call(board.running_calls, running)
         if is_isolated:
             end_suspect(board.quarantine)
+    if answer is None:
+        answer = answer_unknown(QUARANTINED, 502)
     ended_at = read_clock()
     record_ended_call(board, call, answer)
     if answer.outcome is Outcome.WHOLE:
--- a/egretlift/serving/parents.py
+++ b/egretlift/serving/parents.py
@@ -35,11 +35,14 @@
         Seconds that a nested call could wait for its start, by the service called.
     nested_failed, nested_overloaded : bool
         Whether a nested call failed, and whether one was refused because of overload.
+    cancel_scope : CancelScope or None
+        Cancels the exchange with the upstream; None before it.
     """
 
     __slots__ = (
         "call",
         "called",
+        "cancel_scope",
         "expires_at",
         "nested_failed",
         "nested_overloaded",
@@ -51,6 +54,7 @@
         self.called = {}
         self.nested_failed = False
         self.nested_overloaded = False
+        self.cancel_scope = None
 
 
 class RunningCalls:
--- a/egretlift/serving/upstream_ends.py
+++ b/egretlift/serving/upstream_ends.py
@@ -142,14 +142,15 @@
         suspects=len(changed),
         known=len(known.intersection(changed)),
     )
-    log_quarantined(board, changed, "upstream")
+    enforce_quarantine(board, changed, "upstream")
     board.share_suspects(changed)
 
 
-def log_quarantined(board, fingerprints, source):
-    """Log and count those of some suspects that are quarantined.
+def enforce_quarantine(board, fingerprints, source):
+    """Break off the running calls of those suspects that are quarantined, and log it.
 
-    ``source`` tells where the last end was seen.
+    An upstream that drops them in time does not end. ``source`` tells where the last
+    end was seen.
     """
     for fingerprint in fingerprints:
         if policy.is_quarantined(board.quarantine, fingerprint):
@@ -161,4 +162,17 @@
                 ends=len(suspect.ends),
                 seconds=policy.compute_quarantine_s(suspect),
                 source=source,
+                running=break_off(board, fingerprint),
             )
+
+
+def break_off(board, fingerprint):
+    """Break off the running calls with a fingerprint and return their number."""
+    found = [
+        running
+        for _, _, running in board.running_calls.by_deadline
+        if ensure_fingerprint(running.call) == fingerprint
+    ]
+    for running in found:
+        running.cancel_scope.cancel()
+    return len(found)
--- a/egretlift/sidecar/suspects.py
+++ b/egretlift/sidecar/suspects.py
@@ -5,7 +5,7 @@
 from egretlift.admission import quarantine as policy
 from egretlift.clock import read_clock
 from egretlift.errors import ObjectInvalid
-from egretlift.serving.upstream_ends import log_quarantined, log_release
+from egretlift.serving.upstream_ends import enforce_quarantine, log_release
 from egretlift.sidecar.datagrams import SUSPECTS, encode_datagram, send_datagram
 
 # An end is told at once to all hosts of the service, and to a random part of them if
@@ -105,7 +105,7 @@
         and fingerprint not in completions
     ]
     after = {name for name in names if policy.is_quarantined(quarantine, name)}
-    log_quarantined(board, sorted(after - before), "daemon")
+    enforce_quarantine(board, sorted(after - before), "daemon")
     for fingerprint in sorted(before - after):
         log_release(board, fingerprint, "completed")
     if refuted:
--- a/egretlift/sidecar/tests/test_suspects.py
+++ b/egretlift/sidecar/tests/test_suspects.py
@@ -5,12 +5,14 @@
 import unittest
 
 from egretlift.admission import quarantine as policy
+from egretlift.admission.slots import set_slot_count
 from egretlift.clock import read_clock
 from egretlift.membership.peers import merge_report
 from egretlift.membership.tests.test_peers import make_report
 from egretlift.membership.upstream import Announcement, accept_announcement
 from egretlift.outcome import Outcome
 from egretlift.serving.call import ensure_fingerprint
+from egretlift.serving.execution import execute_locally
 from egretlift.serving.tests.test_offers import make_call
 from egretlift.serving.upstream_ends import (
     judge_call,
@@ -42,6 +44,7 @@
     accept_announcement(
         board.upstream, make_heartbeat(board), board.settings.service, 0
     )
+    set_slot_count(board.slots, 8)
     return board
 
 
@@ -147,6 +150,42 @@
                 self.assertIsNone(judge_call(board, make_view(2)))
 
 
+class TestRunningCalls(unittest.TestCase):
+    """Calls that are running when their like are quarantined."""
+
+    def test_calls_are_broken_off(self):
+        """Guards against upstreams that end after the cause is known."""
+        for ends, statuses in ((2, [504, 504]), (3, [502, 504])):
+            with self.subTest(ends=ends):
+                self.assertEqual(asyncio.run(self.run_calls(ends)), statuses)
+
+    async def run_calls(self, ends):
+        """Return the statuses of two calls, the first of which others tell ends of."""
+        board = make_board_with_upstream()
+
+        async def keep_silent(reader, writer):
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(keep_silent, "127.0.0.1", 0)
+        board.settings.upstream = server.sockets[0].getsockname()
+        deadline = read_clock() + 0.3
+        calls = [make_view(number) for number in (1, 2)]
+        for number, call in enumerate(calls):
+            call.request_id, call.deadline, call.origin_at = f"r{number}", deadline, 0.0
+            call.is_inner = True
+        running = [asyncio.create_task(execute_locally(board, call)) for call in calls]
+        await asyncio.sleep(0.1)
+        told = {f"i-{number}@1": 0.0 for number in range(ends)}
+        suspects = {ensure_fingerprint(calls[0]): told}
+        receive(
+            board, encode_datagram(SUSPECTS, [board.settings.service, suspects, {}])
+        )
+        answers = await asyncio.gather(*running)
+        server.close()
+        return [answer.status for answer in answers]
+
+
 class TestDatagrams(unittest.TestCase):
     """What daemons of a service tell one another."""
 
