Let a restarted daemon ask which requests are quarantined

Query of death. It heard of it from one random daemon a second of each other host.

A daemon now asks the others of its service as soon as it knows the hosts, and each tells three others a second instead of one.

The new unit test needs the question, which the datagrams did not have.

--- a/egretlift/sidecar/suspects.py
+++ b/egretlift/sidecar/suspects.py
@@ -8,10 +8,11 @@
 from egretlift.serving.upstream_ends import enforce_quarantine, log_release
 from egretlift.sidecar.datagrams import SUSPECTS, encode_datagram, send_datagram
 
-# An end is told at once to all hosts of the service, and to a random part of them if
-# there are more; then each daemon tells another one at this interval.
+# An end is told at once to all hosts of the service, or to so many random ones; then
+# each daemon tells some others at this interval.
 RECIPIENTS_MAXIMUM = 64
 INTERVAL_S = 1.0
+RECIPIENTS_PER_INTERVAL = 3
 # More suspects would not fit into one packet.
 SUSPECTS_PER_DATAGRAM = 8
 SUSPECTS_PER_INTERVAL = 32
@@ -19,27 +20,41 @@
 UPSTREAM_NAME_MAXIMUM = 200
 # Older ends and completions change nothing.
 AGE_MAXIMUM_S = 86_400.0
-REMEDY = "send a service, and seconds since each end and completion by fingerprint"
+REMEDY = "send a service, a host, and seconds since ends and completions"
 
 
 async def share_suspects(board):
-    """Tell other daemons of the service which requests are suspected."""
+    """Tell other daemons of the service which requests are suspected.
+
+    A daemon that has just started asks them first.
+    """
+    await board.hosts_listed.wait()
+    send_suspects(board, [], choose_recipients(board, RECIPIENTS_MAXIMUM))
     while True:
         with anyio.move_on_after(INTERVAL_S * (0.9 + 0.2 * board.random.random())):
             await board.suspects_due.wait()
-        peers = board.list_service_peers()
         changed = sorted(board.changed_suspects)
         if changed:
             board.changed_suspects.clear()
             board.suspects_due = anyio.Event()
-            count = min(RECIPIENTS_MAXIMUM, len(peers))
-            send_suspects(board, changed, board.random.sample(peers, count))
+            recipients = choose_recipients(board, RECIPIENTS_MAXIMUM)
+            send_suspects(board, changed, recipients)
         else:
             forget_suspects(board)
-            endangered = policy.list_endangered(board.quarantine)
-            if endangered and peers:
-                peer = board.random.choice(peers)
-                send_suspects(board, endangered[-SUSPECTS_PER_INTERVAL:], [peer])
+            send_endangered(board, choose_recipients(board, RECIPIENTS_PER_INTERVAL))
+
+
+def choose_recipients(board, maximum):
+    """Return random other hosts of the service, at most ``maximum``."""
+    peers = board.list_service_peers()
+    return board.random.sample(peers, min(maximum, len(peers)))
+
+
+def send_endangered(board, peers):
+    """Tell hosts of the requests that are isolated or quarantined, if there are any."""
+    endangered = policy.list_endangered(board.quarantine)
+    if endangered:
+        send_suspects(board, endangered[-SUSPECTS_PER_INTERVAL:], peers)
 
 
 def forget_suspects(board):
@@ -54,8 +69,11 @@
 
 
 def send_suspects(board, fingerprints, peers):
-    """Send what is known about requests, their ends and completions, to hosts."""
-    for first in range(0, len(fingerprints), SUSPECTS_PER_DATAGRAM):
+    """Send what is known about requests, their ends and completions, to hosts.
+
+    A datagram about no request asks for what the others know.
+    """
+    for first in range(0, max(1, len(fingerprints)), SUSPECTS_PER_DATAGRAM):
         part = fingerprints[first : first + SUSPECTS_PER_DATAGRAM]
         data = encode_datagram(SUSPECTS, encode_suspects(board, part))
         for peer in peers:
@@ -79,20 +97,22 @@
         for name in fingerprints
         if name in completed
     }
-    return [board.settings.service, ends, completions]
+    return [board.settings.service, board.settings.host, ends, completions]
 
 
 def receive_suspects(board, values):
-    """Merge what another daemon of the service knows about suspects.
+    """Merge what another daemon of the service knows about suspects, or answer it.
 
     Raises
     ------
     ObjectInvalid
         ``values`` are no suspects.
     """
-    service, suspects, completions = check_suspects(values)
+    service, host, suspects, completions = check_suspects(values)
     if service != board.settings.service:
         return
+    if not suspects and not completions and host in board.peers:
+        send_endangered(board, [board.peers[host]])
     quarantine, now = board.quarantine, read_clock()
     names = {*suspects, *completions}
     before = {name for name in names if policy.is_quarantined(quarantine, name)}
@@ -120,7 +140,7 @@
     ObjectInvalid
     """
     try:
-        service, suspects, completions = values
+        service, host, suspects, completions = values
         names = {*suspects, *completions}
         ends = [end for found in suspects.values() for end in found.items()]
         ages = [*completions.values(), *(age_s for _, age_s in ends)]
@@ -128,6 +148,7 @@
         raise ObjectInvalid(f"suspects: {error!r:.200}", REMEDY) from error
     if not (
         isinstance(service, str)
+        and isinstance(host, str)
         and len(names) <= SUSPECTS_PER_DATAGRAM
         and all(is_fingerprint(name) for name in names)
         and all(len(found) <= policy.ENDS_MAXIMUM for found in suspects.values())
@@ -135,7 +156,7 @@
         and all(is_age(age_s) for age_s in ages)
     ):
         raise ObjectInvalid(f"suspects: {values!r:.200}", REMEDY)
-    return service, suspects, completions
+    return service, host, suspects, completions
 
 
 def is_fingerprint(value):
--- a/egretlift/sidecar/tests/test_suspects.py
+++ b/egretlift/sidecar/tests/test_suspects.py
@@ -179,7 +179,8 @@
         told = {f"i-{number}@1": 0.0 for number in range(ends)}
         suspects = {ensure_fingerprint(calls[0]): told}
         receive(
-            board, encode_datagram(SUSPECTS, [board.settings.service, suspects, {}])
+            board,
+            encode_datagram(SUSPECTS, [board.settings.service, "h", suspects, {}]),
         )
         answers = await asyncio.gather(*running)
         server.close()
@@ -229,6 +230,21 @@
         pass_on(first, second, [FIRST])
         self.assertTrue(policy.is_quarantined(second.quarantine, FIRST))
 
+    def test_question(self):
+        """Guards against a restarted daemon that runs what others have quarantined."""
+        first, second = make_board(), make_board()
+        for board in (first, second):
+            add_other_host(board)
+        now = read_clock()
+        policy.add_end(first.quarantine, FIRST, "i-1@1", now, now)
+        receive(first, encode_question(second))
+        self.assertFalse(first.datagrams.sent)
+        policy.add_end(first.quarantine, FIRST, "i-2@1", now, now)
+        receive(first, encode_question(second))
+        ((datagram, _),) = first.datagrams.sent
+        receive(second, json.dumps(datagram).encode())
+        self.assertEqual(len(second.quarantine.suspects[FIRST].ends), 2)
+
     def test_size(self):
         """Guards against datagrams too large for a packet or for the receiver."""
         first, second = make_board(), make_board()
@@ -251,24 +267,25 @@
         for values in (
             [],
             {},
-            [service, {FIRST: ends}],
-            [service, [FIRST], {}],
-            [service, {FIRST: ends}, [FIRST]],
-            [service, {FIRST: ["i-1@1"]}, {}],
-            [service, {FIRST: {"i-1@1": "1"}}, {}],
-            [service, {FIRST: {"i-1@1": None}}, {}],
-            [service, {FIRST: {"i-1@1": -1}}, {}],
-            [service, {FIRST: {"i-1@1": 10**400}}, {}],
-            [service, {FIRST: {"i-1@1": float("inf")}}, {}],
-            [service, {FIRST: {"i-1@1": float("nan")}}, {}],
-            [service, {FIRST: {"i" * 300: 1.0}}, {}],
-            [service, {FIRST: {f"i-{number}": 1.0 for number in range(9)}}, {}],
-            [service, {"short": ends}, {}],
-            [service, {}, {FIRST: float("nan")}],
-            [service, {}, {FIRST: 10**400}],
-            [service, many, {}],
-            [7, {FIRST: ends}, {}],
-            ["other", {FIRST: ends}, {}],
+            [service, "h", {FIRST: ends}],
+            [service, "h", [FIRST], {}],
+            [service, "h", {FIRST: ends}, [FIRST]],
+            [service, "h", {FIRST: ["i-1@1"]}, {}],
+            [service, "h", {FIRST: {"i-1@1": "1"}}, {}],
+            [service, "h", {FIRST: {"i-1@1": None}}, {}],
+            [service, "h", {FIRST: {"i-1@1": -1}}, {}],
+            [service, "h", {FIRST: {"i-1@1": 10**400}}, {}],
+            [service, "h", {FIRST: {"i-1@1": float("inf")}}, {}],
+            [service, "h", {FIRST: {"i-1@1": float("nan")}}, {}],
+            [service, "h", {FIRST: {"i" * 300: 1.0}}, {}],
+            [service, "h", {FIRST: {f"i-{number}": 1.0 for number in range(9)}}, {}],
+            [service, "h", {"short": ends}, {}],
+            [service, "h", {}, {FIRST: float("nan")}],
+            [service, "h", {}, {FIRST: 10**400}],
+            [service, "h", many, {}],
+            [service, 7, {FIRST: ends}, {}],
+            [7, "h", {FIRST: ends}, {}],
+            ["other", "h", {FIRST: ends}, {}],
         ):
             with self.subTest(values=str(values)[:60]):
                 receive(board, encode_datagram(SUSPECTS, values))
@@ -283,6 +300,11 @@
     board.directory = None
 
 
+def encode_question(board):
+    """Return the question of a daemon that has just started, of the host "other"."""
+    return encode_datagram(SUSPECTS, [board.settings.service, "other", {}, {}])
+
+
 def pass_on(sender, receiver, fingerprints):
     """Pass what one board knows on to another one."""
     sender.datagrams.sent.clear()
--- a/integration/test_query_of_death.py
+++ b/integration/test_query_of_death.py
@@ -122,7 +122,7 @@
                     sidecar.settings["bootstrap"] = False
                     sidecar.process = await sidecar.start(mesh.folder.name, mesh.root)
                     await mesh.wait_until_ready(sidecar)
-                    await asyncio.sleep(4.0)
+                    await asyncio.sleep(0.3)
                 await Load(mesh).run(2.0)
                 self.assertEqual(count_ends(mesh), before)
 
