Tell of suspects also while the hosts are not listed

A daemon that starts while neither the store nor another daemon lists the hosts waited for the list before it told of any end, although it learns hosts from reports too. It now waits two seconds at most.

--- a/egretlift/sidecar/suspects.py
+++ b/egretlift/sidecar/suspects.py
@@ -13,6 +13,8 @@
 RECIPIENTS_MAXIMUM = 64
 INTERVAL_S = 1.0
 RECIPIENTS_PER_INTERVAL = 3
+# Without the store and other daemons, a daemon that starts may not learn the hosts.
+HOSTS_WAIT_S = 2.0
 # More suspects would not fit into one packet.
 SUSPECTS_PER_DATAGRAM = 8
 SUSPECTS_PER_INTERVAL = 32
@@ -28,7 +30,8 @@
 
     A daemon that has just started asks them first.
     """
-    await board.hosts_listed.wait()
+    with anyio.move_on_after(HOSTS_WAIT_S):
+        await board.hosts_listed.wait()
     send_suspects(board, [], choose_recipients(board, RECIPIENTS_MAXIMUM))
     while True:
         with anyio.move_on_after(INTERVAL_S * (0.9 + 0.2 * board.random.random())):
