Ask several times for suspects after a start

Query of death. The others answer a question only from a host that they know, and they do not know a new one before its first report. It now asks eight times in 2.4 s.

No test fails without this change: the meshes of the tests add no hosts.

--- a/egretlift/sidecar/suspects.py
+++ b/egretlift/sidecar/suspects.py
@@ -15,6 +15,10 @@
 RECIPIENTS_PER_INTERVAL = 3
 # Without the store and other daemons, a daemon that starts may not learn the hosts.
 HOSTS_WAIT_S = 2.0
+# A new host is known to the others after its first report, or from its entry in the
+# store.
+QUESTIONS = 8
+QUESTION_INTERVAL_S = 0.3
 # More suspects would not fit into one packet.
 SUSPECTS_PER_DATAGRAM = 8
 SUSPECTS_PER_INTERVAL = 32
@@ -28,13 +32,18 @@
 async def share_suspects(board):
     """Tell other daemons of the service which requests are suspected.
 
-    A daemon that has just started asks them first.
+    A daemon that has just started asks them, several times, as they answer only once
+    they know its host.
     """
     with anyio.move_on_after(HOSTS_WAIT_S):
         await board.hosts_listed.wait()
-    send_suspects(board, [], choose_recipients(board, RECIPIENTS_MAXIMUM))
+    questions = QUESTIONS
     while True:
-        with anyio.move_on_after(INTERVAL_S * (0.9 + 0.2 * board.random.random())):
+        if questions:
+            questions -= 1
+            send_suspects(board, [], choose_recipients(board, RECIPIENTS_MAXIMUM))
+        pause_s = QUESTION_INTERVAL_S if questions else INTERVAL_S
+        with anyio.move_on_after(pause_s * (0.9 + 0.2 * board.random.random())):
             await board.suspects_due.wait()
         changed = sorted(board.changed_suspects)
         if changed:
