--- a/egretlift/sidecar/datagrams.py
+++ b/egretlift/sidecar/datagrams.py
@@ -1,4 +1,4 @@
-"""Datagrams between daemons: reports, usage of rates, and host entries.
+"""Datagrams between daemons: reports, usage of rates, host entries and suspects.
 
 A datagram is a JSON list of its kind and a list of values, which depend on the kind.
 """
@@ -12,6 +12,7 @@
 REPORT = "report"
 RATES = "rates"
 HOSTS = "hosts"
+SUSPECTS = "suspects"
 REMEDY = "send a list of a known kind and its values"
 
 
@@ -38,7 +39,7 @@
     if not isinstance(document, list) or len(document) != 2:
         raise ObjectInvalid(f"datagram: {document!r:.200}", REMEDY)
     kind, values = document
-    if kind not in (REPORT, RATES, HOSTS) or not isinstance(values, list):
+    if kind not in (REPORT, RATES, HOSTS, SUSPECTS) or not isinstance(values, list):
         raise ObjectInvalid(f"datagram: kind is {kind!r:.100}", REMEDY)
     return kind, values
 
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -17,10 +17,14 @@
     "invalid_heartbeats": "Heartbeats that were ignored because of an invalid value",
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
+    "quarantines": "Requests quarantined, as known on this host",
     "store_calls": "Calls to the store",
     "store_restores": "Times that the store came back from an older copy",
     "unframed_answers": "Whole answers that ended with their connection",
+    "upstream_broken_calls": "Requests whose connection to the upstream broke",
     "upstream_connections": "Connections opened to the upstream",
+    "suspects_refused": "Requests refused as suspects, by reason",
+    "upstream_ends": "Ends of the upstream while it was running calls",
     "upstream_requests": "Requests sent to the upstream, by kind",
 }
 
@@ -72,6 +76,7 @@
         if board.configuration
         else 0,
         "store_era": board.store_era or 0,
+        "suspects": len(board.quarantine.suspects),
         "store_served": int(bool(board.store_ok)),
         "upstream_rate_limit": get_stated_rate(board.slots.rate_limit) or 0,
     }
