Handle signals before a port is open, and judge stops by that

Such a daemon has no port open and no request, so that its end is allowed; the check now asks the kernel whether the signal is caught. By reading, the sidecar opened its ports before its handlers; the order is now the other way round, so that the narrower check is exact.

--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -1,6 +1,5 @@
 """Entry point of the sidecar daemon: ``python -m egretlift.sidecar``."""
 
-import functools
 import gc
 import os
 import sys
@@ -213,6 +212,9 @@
     record_event("started", zone=settings.zone, service=settings.service)
     try:
         async with anyio.create_task_group() as tasks:
+            # Before any port is open, so that no signal cuts off a request.
+            stop = anyio.Event()
+            await tasks.start(handle_signals, stop, partial(reload_settings, board))
             for controller in CONTROLLERS:
                 tasks.start_soon(keep_running, board, controller)
             tasks.start_soon(keep_running, board, tidy)
@@ -222,10 +224,6 @@
             # Objects made so far live until the end: exempt them from collection.
             gc.collect()
             gc.freeze()
-            stop = anyio.Event()
-            await tasks.start(
-                handle_signals, stop, functools.partial(reload_settings, board)
-            )
             await stop.wait()
             await drain(board, [server for server, _ in ports])
             await remove_entry(board)
--- a/integration/soak.py
+++ b/integration/soak.py
@@ -23,7 +23,7 @@
 from standins.ports import allocate_port
 from standins.proxy import Pair, change_pair, cut_pair, open_pair
 from standins.serving import reset_connection
-from standins.sidecars import ROUTES, SidecarMesh, make_configuration
+from standins.sidecars import ROUTES, SidecarMesh, has_signal, make_configuration
 
 # Pauses of a daemon in series.
 PAUSES_MAXIMUM = 3
@@ -121,6 +121,8 @@
     with claim_sidecar(mesh) as sidecar:
         if sidecar is None:
             return
+        # A daemon that is still starting has no port open and may end at once.
+        may_end_at_once = not has_signal(sidecar.process.pid, "SigCgt", signal.SIGTERM)
         sidecar.signal(signal.SIGTERM)
         for _ in range(mesh.random.choice((0, 0, 1, 2))):
             await asyncio.sleep(mesh.random.choice((0.0, 0.2, 1.0)))
@@ -129,7 +131,7 @@
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 status = await sidecar.process.wait()
-            if status != 0:
+            if status != 0 and not (may_end_at_once and status == -signal.SIGTERM):
                 mesh.violations.append(f"{sidecar.name} stopped with status {status}")
         except TimeoutError:
             mesh.violations.append(f"{sidecar.name} did not stop in time")
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -8,7 +8,14 @@
 
 import aiohttp
 
-from standins.sidecars import KEY, ROUTES, SidecarMesh, make_configuration, wait_for
+from standins.sidecars import (
+    KEY,
+    ROUTES,
+    SidecarMesh,
+    has_signal,
+    make_configuration,
+    wait_for,
+)
 
 
 def run_mesh(scenario, count=2):
@@ -21,13 +28,6 @@
     asyncio.run(run())
 
 
-def has_signal(pid, field, number):
-    """Return whether a signal is in a mask of a process, such as ``SigIgn``."""
-    text = Path(f"/proc/{pid}/status").read_text()
-    (line,) = [line for line in text.splitlines() if line.startswith(field)]
-    return bool(int(line.split()[1], 16) >> (number - 1) & 1)
-
-
 class TestRequests(unittest.TestCase):
     """Checks what reaches upstreams and which answers callers get."""
 
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -422,3 +422,10 @@
                 "the condition was not met in time; the traceback shows which one"
             )
         await asyncio.sleep(0.05)
+
+
+def has_signal(pid, field, number):
+    """Return whether a signal is in a mask of a process, such as ``SigIgn``."""
+    text = Path(f"/proc/{pid}/status").read_text()
+    (line,) = [line for line in text.splitlines() if line.startswith(field)]
+    return bool(int(line.split()[1], 16) >> (number - 1) & 1)
