--- a/integration/soak.py
+++ b/integration/soak.py
@@ -34,6 +34,8 @@
 # Time in which all daemons must serve the newest configuration once faults have ended.
 RECOVERY_S = 15.0
 CALLERS_PER_DAEMON = 3
+# Version with which a mesh starts.
+FIRST_VERSION = 3
 FAULTS_PER_S = 0.8
 FAULT_LINES = ("event=task-error", "event=request-fault", "Traceback")
 
@@ -59,7 +61,7 @@
         self.pairs = {}
         self.stopped = set()
         self.violations = []
-        self.version = 3
+        self.version = FIRST_VERSION
 
     async def __aexit__(self, *details):
         for pair in self.pairs.values():
@@ -191,6 +193,19 @@
     mesh.store.fault = ""
 
 
+async def restore_store(mesh):
+    """Let the store go away and come back from a copy that is some seconds old."""
+    copy = mesh.store.copy()
+    await asyncio.sleep(0.5 + 3.5 * mesh.random.random())
+    mesh.store.keeps_watches = mesh.random.random() < 0.5
+    mesh.store.fault = "down"
+    await asyncio.sleep(1.5 * mesh.random.random())
+    mesh.store.restore(copy)
+    mesh.store.fault = ""
+    # The operator writes again what is lost.
+    mesh.store.put("config", "main", make_version(mesh.version))
+
+
 async def spoil_answers(mesh):
     """Let an upstream answer with two kinds of defects for some time."""
     upstream = mesh.random.choice(mesh.sidecars).upstream.faulty
@@ -208,7 +223,9 @@
 
 
 def make_version(version):
-    """Return a configuration with a route whose prefix names its version."""
+    """Return a configuration with a route whose prefix names its version, if later."""
+    if version == FIRST_VERSION:
+        return make_configuration(version)
     name, prefix = f"views-{version}", f"/view-{version}/"
     route = [name, "m.example", prefix, *ROUTES[0][3:]]
     return make_configuration(version, routes=[*ROUTES, route])
@@ -221,6 +238,7 @@
     reload_daemon,
     disturb_link,
     disturb_store,
+    restore_store,
     spoil_answers,
     change_configuration,
 )
@@ -249,7 +267,8 @@
 
 async def serves_newest(mesh, sidecar):
     """Return whether a daemon serves the route that the newest version added."""
-    path = f"/view-{mesh.version}/1" if mesh.version > 3 else "/view/1"
+    is_first = mesh.version == FIRST_VERSION
+    path = "/view/1" if is_first else f"/view-{mesh.version}/1"
     try:
         async with asyncio.timeout(2.0):
             status, _, _ = await mesh.ask(
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -9,16 +9,12 @@
 
 from aiohttp import web
 
+from standins.serving import drop_connection
+
 PAGE_SIZE = 50
 PREFIX = "/-/objects/"
 
 
-def drop_connection(request):
-    """Close the connection of a request without an answer."""
-    if request.transport is not None:
-        request.transport.abort()
-
-
 class Metastore:
     """Objects, change history and current fault of a store.
 
@@ -155,8 +151,7 @@
         )
         while True:
             if era != self.era and not self.keeps_watches:
-                drop_connection(request)
-                return web.Response()
+                return drop_connection(request)
             if after + 1 < self.oldest or (era == self.era and after > self.revision):
                 return web.json_response({"error": "gone"}, status=410)
             events = [
