Pass over informational answers to HEAD

What callers saw: the answer to HEAD was lost (502, reason answer-not-sealed) if the upstream sent status 100 or 103 before it.

Cause: the answer to HEAD is complete with its head, and the check for that did not leave out informational answers, as the one at the end of a message does.

Change: only a head with a status of 200 or more completes the answer to HEAD.

Evidence: on the unchanged code 5 of 6 rows of test_informational_answers_to_head fail (the caller's exchange returned status 100 or 103); all pass with the change.

--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -248,7 +248,7 @@
         self.framed = "content-length" in fields or "transfer-encoding" in fields
         if self.parser.get_status_code() in NO_BODY_STATUSES or self.head_only:
             self.framed = True
-        if self.head_only:
+        if self.head_only and self.parser.get_status_code() >= 200:
             self.reusable = False
             self.complete()
 
--- a/egretlift/transport/tests/test_connection_reads.py
+++ b/egretlift/transport/tests/test_connection_reads.py
@@ -24,6 +24,8 @@
 
 TRUE = make_answer(200, b"X-Request-Id: b\r\n" + SEAL, BODY)
 TRUE_CHUNKED = make_answer(200, b"X-Request-Id: b\r\n" + SEAL, BODY, True)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 STRAYS = (
     make_answer(200, b"X-Request-Id: a\r\n" + SEAL, b"A" * 30),
     make_answer(200, b"X-Request-Id: a\r\n" + SEAL, b"A" * 30, True),
@@ -32,7 +34,7 @@
     make_answer(500, b"", b"A" * 30),
     make_answer(503, b"X-Not-Executed: 1\r\n", b""),
     make_answer(503, b"X-Not-Executed: 1\r\nX-Request-Id: a\r\n", b""),
-    b"HTTP/1.1 100 Continue\r\n\r\n",
+    CONTINUE,
     b"HTTP/1.1 204 No Content\r\nX-Request-Id: a\r\n\r\n",
 )
 
@@ -47,7 +49,7 @@
         """Discard the connection."""
 
 
-async def ask(connection, request_id, parts, is_last):
+async def ask(connection, request_id, parts, is_last, head_only=False):
     """Return the answer to a request while the peer's bytes arrive in parts.
 
     The peer closes the connection after the last request.
@@ -56,7 +58,7 @@
         connection.request(
             b"",
             lambda fields: dialect.matches_request(fields, request_id),
-            False,
+            head_only,
             5.0,
             dialect.names_request,
         )
@@ -72,10 +74,16 @@
         return None
 
 
-async def read_second(data, cuts):
-    """Return status and body of a connection's second answer, None if there is none."""
+def make_connection():
+    """Return a connection without a network."""
     connection = Connection()
     connection.transport = Transport()
+    return connection
+
+
+async def read_second(data, cuts):
+    """Return status and body of a connection's second answer, None if there is none."""
+    connection = make_connection()
     first = make_answer(200, b"X-Request-Id: a\r\n" + SEAL, b"ok")
     await ask(connection, "a", [first], False)
     edges = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
@@ -84,6 +92,12 @@
     return received and (received.status, received.body)
 
 
+async def read_head(parts):
+    """Return status and body of a connection's answer to ``HEAD``, None if none."""
+    received = await ask(make_connection(), "b", parts, True, head_only=True)
+    return received and (received.status, received.body)
+
+
 class TestReads(unittest.TestCase):
     """The second answer on a connection, with other answers around it."""
 
@@ -113,6 +127,20 @@
         found = asyncio.run(read_second(data, cuts))
         self.assertIn(found, (None, (500, b""), (503, b"")))
 
+    def test_informational_answers_to_head(self):
+        """Guards against status 100 delivered as the answer, which is then lost."""
+        head = TRUE[: -len(BODY)]
+        for name, parts, expected in (
+            ("none", [head], (200, b"")),
+            ("100", [CONTINUE, head], (200, b"")),
+            ("100, same read", [CONTINUE + head], (200, b"")),
+            ("103", [EARLY_HINTS, head], (200, b"")),
+            ("two", [CONTINUE, EARLY_HINTS + head], (200, b"")),
+            ("only 100", [CONTINUE], None),
+        ):
+            with self.subTest(name):
+                self.assertEqual(asyncio.run(read_head(parts)), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
