Count a late copy before the answer to HEAD once

What callers saw: nothing seen. Found by reading: five late copies before the answer to HEAD ended the request (outcome unknown), where eight are allowed.

Cause: the answer to HEAD is completed at its head and, if the parser reads the body of a copy, once more at the end of the message, so that each copy counted twice.

Change: the end of the message completes no answer to HEAD.

Evidence: the row with eight copies of test_copies_before_the_answer_to_head fails on the code before (1 of 3 rows) and passes with the change.

--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -264,13 +264,17 @@
             self.fail("answer too large")
 
     def on_message_complete(self):
-        """Complete the answer unless it is an informational one (1xx)."""
+        """Complete the answer unless it is an informational one (1xx).
+
+        That to ``HEAD`` was complete with its head.
+        """
         if self.parser.get_status_code() < 200:
             self.in_answer = False
             return
         if not self.parser.should_keep_alive():
             self.reusable = False
-        self.complete()
+        if not self.head_only:
+            self.complete()
 
     def complete(self):
         """Deliver the answer to its request, or drop it as that of another request."""
--- a/egretlift/transport/tests/test_connection_reads.py
+++ b/egretlift/transport/tests/test_connection_reads.py
@@ -7,7 +7,11 @@
 from hypothesis import strategies as st
 
 from egretlift.platform import requests as dialect
-from egretlift.transport.connection import Connection, ExchangeBroken
+from egretlift.transport.connection import (
+    STRAY_ANSWERS_MAXIMUM,
+    Connection,
+    ExchangeBroken,
+)
 
 SEAL = b"X-Server-Seal: s\r\n"
 BODY = b"B" * 10
@@ -141,6 +145,18 @@
             with self.subTest(name):
                 self.assertEqual(asyncio.run(read_head(parts)), expected)
 
+    def test_copies_before_the_answer_to_head(self):
+        """Guards against one copy counted as two, so that the true answer is lost."""
+        copy, head = STRAYS[0], TRUE[: -len(BODY)]
+        for copies, expected in (
+            (1, (200, b"")),
+            (STRAY_ANSWERS_MAXIMUM, (200, b"")),
+            (STRAY_ANSWERS_MAXIMUM + 1, None),
+        ):
+            with self.subTest(copies=copies):
+                found = asyncio.run(read_head([copies * copy + head]))
+                self.assertEqual(found, expected)
+
 
 if __name__ == "__main__":
     unittest.main()
