Test every error that ends a body without a length

The rows of the sockets give ECONNRESET only: a reader that looks for that error alone passed all tests (mutation, trial). EPIPE (a reset behind the peer's close) and ETIMEDOUT (the peer is not reached) break the body as well.

--- a/egretlift/transport/tests/test_connection_end.py
+++ b/egretlift/transport/tests/test_connection_end.py
@@ -1,11 +1,13 @@
 """Answers whose body ends with the connection, on the event loops that are used."""
 
 import asyncio
+import errno
 import socket
 import unittest
 
 import uvloop
 
+from egretlift.transport.connection import Connection
 from egretlift.transport.exchange import (
     ExchangeBroken,
     Pool,
@@ -61,6 +63,44 @@
         return received and received.body
 
 
+class EndedTransport:
+    """A transport whose socket has a pending error, 0 for none; see `read_end`."""
+
+    __slots__ = ("code",)
+
+    def __init__(self, code):
+        self.code = code
+
+    def get_extra_info(self, name):
+        """Return the socket, which is this object."""
+        return self
+
+    def getsockopt(self, level, option):
+        """Return the pending error."""
+        assert (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR)
+        return self.code
+
+    def write(self, data):
+        """Discard the request."""
+
+    def abort(self):
+        """Discard the connection."""
+
+
+async def read_end(code):
+    """Return the body that is taken for whole at an end with a pending error."""
+    connection = Connection()
+    connection.transport = EndedTransport(code)
+    asking = asyncio.create_task(connection.request(b"", accept_any, False, 2.0))
+    await asyncio.sleep(0)
+    connection.data_received(HEAD + BODY)
+    connection.eof_received()
+    try:
+        return (await asking).body
+    except ExchangeBroken:
+        return None
+
+
 class TestConnectionEnd(unittest.TestCase):
     """What the end of a connection says about an answer without a length."""
 
@@ -82,6 +122,23 @@
                             expected = None if resets else BODY[:size]
                             self.assertEqual(found, expected)
 
+    def test_every_error_of_the_socket_breaks_a_body(self):
+        """Guards against errors other than a reset that are taken for a close (MIXED).
+
+        A socket has EPIPE if a reset follows the peer's close, and ETIMEDOUT if the
+        peer is no longer reached.
+        """
+        for code, expected in (
+            (0, BODY),
+            (errno.ECONNRESET, None),
+            (errno.EPIPE, None),
+            (errno.ETIMEDOUT, None),
+            (errno.EHOSTUNREACH, None),
+            (9999, None),
+        ):
+            with self.subTest(code=code):
+                self.assertEqual(asyncio.run(read_end(code)), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
