Log and count answers that name no request

Change: the line answer-unnamed and the counter unnamed_answers.

Evidence: 2 of 5 rows of test_unusual_answers_are_logged fail on the code before.

--- a/egretlift/cli/explain.py
+++ b/egretlift/cli/explain.py
@@ -30,6 +30,7 @@
         "not-whole",
         "upstream-broke",
         "answer-unframed",
+        "answer-unnamed",
         "answers-dropped",
     )
 )
--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -210,13 +210,20 @@
 
 
 def log_unusual_answer(board, call, received):
-    """Log and count an answer that ended with its connection or came after others."""
+    """Log and count an answer that came after others or lacks a length or a name.
+
+    An answer that names no request may have been waited on until the time limit, as a
+    named one might have followed.
+    """
     if not received.framed:
         board.count("unframed_answers")
         board.log("answer-unframed", call, body_bytes=len(received.body))
     if received.dropped:
         board.count("late_answers")
         board.log("answers-dropped", call, dropped=received.dropped)
+    if not board.dialect.names_request(received.fields):
+        board.count("unnamed_answers")
+        board.log("answer-unnamed", call, status=received.status)
 
 
 def describe_kind(call):
--- a/egretlift/serving/tests/test_stray_answers.py
+++ b/egretlift/serving/tests/test_stray_answers.py
@@ -9,7 +9,8 @@
 
 from egretlift.outcome import Outcome
 from egretlift.platform import requests as dialect
-from egretlift.serving.execution import classify_response
+from egretlift.serving.execution import classify_response, log_unusual_answer
+from egretlift.transport.connection import ReceivedAnswer
 from egretlift.transport.exchange import (
     ExchangeBroken,
     Pool,
@@ -337,6 +338,30 @@
             )
         )
 
+    def test_unusual_answers_are_logged(self):
+        """Guards against callers that waited for a named answer, seen in no log."""
+        named, sealed = {"x-request-id": "b"}, {"x-server-seal": "s"}
+        for name, fields, framed, dropped, expected in (
+            ("usual", {**named, **sealed}, True, 0, []),
+            ("no length", {**named, **sealed}, False, 0, ["answer-unframed"]),
+            ("behind two", {**named, **sealed}, True, 2, ["answers-dropped"]),
+            ("unnamed", {}, True, 0, ["answer-unnamed"]),
+            ("unnamed behind one", {}, True, 1, ["answers-dropped", "answer-unnamed"]),
+        ):
+            with self.subTest(name):
+                events, counters = [], []
+                board = types.SimpleNamespace(
+                    dialect=dialect,
+                    count=counters.append,
+                    log=lambda event, call, events=events, **fields: events.append(
+                        event
+                    ),
+                )
+                received = ReceivedAnswer(500, [], fields, b"", framed, dropped)
+                log_unusual_answer(board, None, received)
+                self.assertEqual(events, expected)
+                self.assertEqual(len(counters), len(expected))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -14,6 +14,7 @@
     "lines_left_out": "Log lines left out because of their number, by kind",
     "store_calls": "Calls to the store",
     "unframed_answers": "Whole answers that ended with their connection",
+    "unnamed_answers": "Answers of the upstream that named no request",
     "upstream_connections": "Connections opened to the upstream",
     "upstream_requests": "Requests sent to the upstream, by kind",
 }
