Close after the last answer once a slow client has read it

A client that reads a large last answer slowly and has sent further requests got about half of it and then a reset.

Cause: the time for the client to close its side ran from the writing of the last answer. While the client reads slowly, reading of its requests is paused, so they were still unread when the daemon closed its socket, which resets the connection.

Change: that time runs from when the client has read most of the answer, so that what it sent is read and dropped first. A client that never reads keeps its connection as before (it was never closed then either, as closing waits for what is still to be written).

Evidence: test_slow_reader_of_the_last_answer fails on the code before on asyncio and uvloop (2 of 2 rows, 2,671,559 of 6,000,000 bytes and a reset) and passes with the change.

--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -36,7 +36,8 @@
 BODY_GAP_S = 5.0
 IDLE_S = 75.0
 CHECK_INTERVAL_S = 1.0
-# How long a client may take to close its side after the last answer.
+# How long a client may take to close its side after it has read most of the last
+# answer.
 LINGER_S = 1.0
 # Requests of one connection that run at the same time; reading pauses at this number.
 PIPELINED_MAXIMUM = 32
@@ -393,7 +394,8 @@
     def check_time(self, now):
         """Close the connection if its client has been silent for too long."""
         silent_s = now - self.progress_at
-        if self.is_closing and silent_s > LINGER_S:
+        # What waits on the socket is read only once the client reads the last answer.
+        if self.is_closing and not self.is_unread and silent_s > LINGER_S:
             self.transport.close()
         if self.is_ended or self.pending:
             return
--- a/egretlift/transport/tests/test_http_server.py
+++ b/egretlift/transport/tests/test_http_server.py
@@ -4,9 +4,11 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 import uvloop
 
+from egretlift.transport import http_server
 from egretlift.transport.http_messages import Response
 from egretlift.transport.http_server import (
     BODY_BYTES_MAXIMUM,
@@ -15,6 +17,8 @@
     listen,
 )
 
+PAUSE_S = 0.01
+
 
 class Limits:
     """Settings of a server."""
@@ -198,6 +202,48 @@
             with self.subTest(name):
                 self.assertEqual(run(wait_for_end()), 0)
 
+    def test_slow_reader_of_the_last_answer(self):
+        """Guards against a last answer that a reset cuts off while it is read.
+
+        The client has sent more requests, which closing the socket would leave unread.
+        """
+        body = b"x" * 6_000_000
+
+        async def answer(request):
+            return Response(200, [], body, close=True)
+
+        async def read_slowly():
+            server, listener = await listen(answer, Limits(), "127.0.0.1", 0)
+            checks = asyncio.create_task(check_connections(server))
+            sock = socket.create_connection(listener.sockets[0].getsockname())
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            request, received = b"GET /a" + HEAD + b"\r\n", b""
+            await loop.sock_sendall(sock, request)
+            try:
+                async with asyncio.timeout(10.0):
+                    while not any(item.is_closing for item in server.connections):
+                        await asyncio.sleep(PAUSE_S)
+                    await loop.sock_sendall(sock, 20 * request)
+                    while chunk := await loop.sock_recv(sock, 1 << 16):
+                        received += chunk
+                        await asyncio.sleep(PAUSE_S)
+            except ConnectionError:
+                received += b"|reset"
+            checks.cancel()
+            sock.close()
+            listener.close()
+            return received.partition(b"\r\n\r\n")[2]
+
+        for name, run in (("asyncio", asyncio.run), ("uvloop", uvloop.run)):
+            with (
+                self.subTest(name),
+                mock.patch.object(http_server, "LINGER_S", 10 * PAUSE_S),
+                mock.patch.object(http_server, "CHECK_INTERVAL_S", PAUSE_S),
+            ):
+                received = run(read_slowly())
+                self.assertEqual((len(received), received[-6:]), (len(body), body[:6]))
+
 
 if __name__ == "__main__":
     unittest.main()
