Test what wrong readers of answers passed

Mutations of the checks, one at a time, that no test failed on (trials): keep a connection whose request timed out or was cancelled (4 of 4 rows of test_connection_without_an_answer fail with it), take a refusal of a daemon of an earlier version without its identifier (2 rows), wait behind an answer to HEAD that names no request (1 of 1). The code itself was right; all rows pass unchanged.

--- a/egretlift/serving/tests/test_peer_answers.py
+++ b/egretlift/serving/tests/test_peer_answers.py
@@ -178,6 +178,11 @@
                 lambda m: write_answer(b"", b"x"),
                 False,
             ),
+            (
+                "another's refusal, of an earlier version",
+                lambda m: write_answer(b"", b"x", refused, b"503 X"),
+                False,
+            ),
             ("another identifier", lambda m: write_answer(m[0], b"x"), False),
             ("no daemon", lambda m: plain, False),
             ("an upstream", lambda m: write_answer(b"", b"r0", SEAL), False),
--- a/egretlift/transport/tests/test_connection_reads.py
+++ b/egretlift/transport/tests/test_connection_reads.py
@@ -157,6 +157,19 @@
                 found = asyncio.run(read_head([copies * copy + head]))
                 self.assertEqual(found, expected)
 
+    def test_unnamed_answer_to_head(self):
+        """Guards against a caller that waits though nothing can be read any more."""
+        unnamed = b"HTTP/1.1 500 X\r\nContent-Length: 30\r\n\r\n"
+
+        async def read_at_once():
+            connection = make_connection()
+            first = make_answer(200, b"X-Request-Id: a\r\n" + SEAL, b"ok")
+            await ask(connection, "a", [first], False)
+            async with asyncio.timeout(0.5):
+                return await ask(connection, "b", [unnamed], False, head_only=True)
+
+        self.assertEqual(asyncio.run(read_at_once()).status, 500)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/egretlift/transport/tests/test_connection_reuse.py
+++ b/egretlift/transport/tests/test_connection_reuse.py
@@ -105,6 +105,40 @@
         return idle, unfinished, was_answered
 
 
+async def end_without_answer(is_cancelled):
+    """Cancel a request, or let it time out; return what is left of its connection.
+
+    Returns
+    -------
+    tuple of (int, bytes or None)
+        Idle connections, and what the peer reads: b"" at an end, None for nothing.
+    """
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        endpoint, pool = listener.getsockname(), Pool()
+        timeout_s = TIMEOUT_S if is_cancelled else PAUSE_S
+        asking = loop.create_task(
+            exchange(pool, endpoint, "GET", REQUEST, accept(0), timeout_s)
+        )
+        sock, _ = await loop.sock_accept(listener)
+        await loop.sock_recv(sock, 65536)
+        if is_cancelled:
+            asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        idle = sum(map(len, pool.idle.values()))
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                found = await loop.sock_recv(sock, 65536)
+        except ConnectionError:
+            found = b""
+        except TimeoutError:
+            found = None
+        sock.close()
+        close_pool(pool)
+        return idle, found
+
+
 class TestConnectionReuse(unittest.TestCase):
     """What is left on a connection by the requests before."""
 
@@ -138,6 +172,17 @@
                         self.assertEqual(unfinished, 0)
                         self.assertEqual(idle, int(was_answered))
 
+    def test_connection_without_an_answer(self):
+        """Guards against a connection that stays open, or is used, without an answer.
+
+        The late answer would come to the next request, and an upstream goes on with a
+        request whose connection is open.
+        """
+        for loop, run in LOOPS:
+            for is_cancelled in (False, True):
+                with self.subTest(loop, is_cancelled=is_cancelled):
+                    self.assertEqual(run(end_without_answer(is_cancelled)), (0, b""))
+
 
 if __name__ == "__main__":
     unittest.main()
