Test that the exchange header comes first in a request

A daemon that refuses a request for too many headers repeats the exchange only if it has read it by then. The code was right.

--- a/egretlift/serving/tests/test_peer_answers.py
+++ b/egretlift/serving/tests/test_peer_answers.py
@@ -284,6 +284,30 @@
         self.assertIs(answer.outcome, Outcome.REFUSED_NOT_RUN)
         self.assertEqual((answer.status, answer.reason), (503, "overload"))
 
+    def test_place_of_the_exchange_header(self):
+        """Guards against a refusal for too many headers that counts as a break.
+
+        A daemon stops reading at the header that is too many, and repeats the exchange
+        only if it came before.
+        """
+
+        async def read_first_header():
+            heads = []
+
+            async def serve(reader, writer):
+                heads.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            peer = make_peer(server.sockets[0].getsockname())
+            await send_to_peer(Board(), make_call("r0"), peer)
+            server.close()
+            return heads[0].split(b"\r\n")[1]
+
+        self.assertEqual(
+            asyncio.run(read_first_header())[:25], b"egretlift-exchange: there"
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
