--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -22,6 +22,7 @@
     "store_restores": "Times that the store came back from an older copy",
     "unframed_answers": "Whole answers that ended with their connection",
     "upstream_broken_calls": "Requests whose connection to the upstream broke",
+    "unnamed_answers": "Answers of the upstream that named no request",
     "upstream_connections": "Connections opened to the upstream",
     "suspects_refused": "Requests refused as suspects, by reason",
     "upstream_ends": "Ends of the upstream while it was running calls",
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -249,7 +249,7 @@
         self.framed = "content-length" in fields or "transfer-encoding" in fields
         if self.parser.get_status_code() in NO_BODY_STATUSES or self.head_only:
             self.framed = True
-        if self.head_only:
+        if self.head_only and self.parser.get_status_code() >= 200:
             self.reusable = False
             self.complete()
 
@@ -265,13 +265,17 @@
             self.fail("answer too large")
 
     def on_message_complete(self):
-        """Complete the answer unless it is an informational one (1xx)."""
+        """Complete the answer unless it is an informational one (1xx).
+
+        That to ``HEAD`` was complete with its head.
+        """
         if self.parser.get_status_code() < 200:
             self.in_answer = False
             return
         if not self.parser.should_keep_alive():
             self.reusable = False
-        self.complete()
+        if not self.head_only:
+            self.complete()
 
     def complete(self):
         """Deliver the answer to its request, or drop it as that of another request."""
