Bound the wait behind an answer that names no request

The wait now ends after a second, with the result that callers had before copies were looked for. The new test patches the bound, which the code before does not have, so it fails there with an error.

--- a/egretlift/serving/tests/test_stray_answers.py
+++ b/egretlift/serving/tests/test_stray_answers.py
@@ -4,12 +4,14 @@
 import time
 import types
 import unittest
+from unittest import mock
 
 import uvloop
 
 from egretlift.outcome import Outcome
 from egretlift.platform import requests as dialect
 from egretlift.serving.execution import classify_response, log_unusual_answer
+from egretlift.transport import connection
 from egretlift.transport.connection import ReceivedAnswer
 from egretlift.transport.exchange import (
     ExchangeBroken,
@@ -236,6 +238,20 @@
             )
         )
 
+    def test_wait_behind_an_unnamed_answer(self):
+        """Guards against slots that are taken until the time limit of each request.
+
+        An upstream may never name requests in the answers with which it fails.
+        """
+        for loop, run in LOOPS:
+            with (
+                self.subTest(loop),
+                mock.patch.object(connection, "UNNAMED_WAIT_S", 0.1),
+            ):
+                result = run(receive([UNNAMED_500], False))
+                self.assertIs(result.outcome, Outcome.UNKNOWN)
+                self.assertLess(result.elapsed_s, AT_ONCE_S)
+
     def test_unnamed_answer_to_the_first_request(self):
         """Guards against waiting where no earlier answer can have been repeated."""
         unknown = Outcome.UNKNOWN
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -33,6 +33,9 @@
 HEADERS_MAXIMUM = 256
 # Answers to other requests that may arrive before the answer to this one.
 STRAY_ANSWERS_MAXIMUM = 8
+# Longest wait for the true answer behind one that names no request. A waiting request
+# takes a slot of the upstream, which may never name requests when it fails.
+UNNAMED_WAIT_S = 1.0
 # Bodies of all unfinished answers of one pool.
 BUFFERED_BYTES_MAXIMUM = 64 * 1024 * 1024
 
@@ -317,11 +320,14 @@
     def hold_answer(self, received):
         """Keep an answer that names no request until it is known that no other comes.
 
-        The body is dropped, as it would take memory of the pool while waiting.
+        Waiting ends after ``UNNAMED_WAIT_S`` at the latest. The body is dropped, as it
+        would take memory of the pool meanwhile.
         """
         if self.unnamed_answer is None:
             received.body = b""
             self.unnamed_answer = received
+            # The connection is not used again, so this ends no later request.
+            asyncio.get_running_loop().call_later(UNNAMED_WAIT_S, self.time_out)
         self.count_stray_answer()
 
     def count_stray_answer(self):
@@ -383,7 +389,8 @@
             Takes the headers of an accepted answer and returns whether they name the
             request; by default each accepted answer does. One that does not, on a
             connection that carried a request before, is returned without its body, and
-            only if no other is accepted until the connection or the time ends.
+            only if no other is accepted until the connection ends, or in
+            ``UNNAMED_WAIT_S``.
 
         Raises
         ------
