--- a/egretlift/membership/tests/test_odd_entries.py
+++ b/egretlift/membership/tests/test_odd_entries.py
@@ -18,7 +18,7 @@
     encode_report,
 )
 from egretlift.membership.tests.test_peers import make_entry, make_report
-from egretlift.serving.peer_requests import make_mark
+from egretlift.serving.peer_requests import make_exchange_id
 
 JSON_VALUES = st.recursive(
     st.none()
@@ -40,7 +40,7 @@
         test.assertTrue(0 <= float(value) < math.inf)
     for name in ("host", "zone", "service", "address", "boot", "upstream_id", "state"):
         getattr(entry, name).encode()
-    make_mark(entry.host, random.Random(1)).encode("latin-1")
+    make_exchange_id(entry.host, random.Random(1)).encode("latin-1")
 
 
 class TestOddEntries(unittest.TestCase):
--- a/egretlift/serving/peer_requests.py
+++ b/egretlift/serving/peer_requests.py
@@ -12,12 +12,12 @@
 EXCHANGE_BITS = 32
 
 
-def make_mark(host, random):
+def make_exchange_id(host, random):
     """Return the value of the exchange header for a new request to a host."""
     return f"{host} {random.getrandbits(EXCHANGE_BITS):08x}"
 
 
-def is_meant_for(mark, host):
+def is_meant_for(exchange_id, host):
     """Return whether a request with an exchange header is meant for a host.
 
     Requests without the header are of daemons of an earlier version, or of operators.
@@ -29,7 +29,7 @@
     >>> is_meant_for(None, "host-1")
     True
     """
-    return mark is None or mark.rpartition(" ")[0] == host
+    return exchange_id is None or exchange_id.rpartition(" ")[0] == host
 
 
 async def exchange_with_peer(board, entry, request, timeout_s, request_id=None):
@@ -58,16 +58,18 @@
     NotSent, ExchangeBroken
     """
     method, target, headers, body = request
-    mark = make_mark(entry.host, board.random)
+    exchange_id = make_exchange_id(entry.host, board.random)
     # It comes first, so that a refusal for too many headers repeats it as well.
-    data = encode_request(method, target, [(EXCHANGE_HEADER, mark), *headers], body)
+    data = encode_request(
+        method, target, [(EXCHANGE_HEADER, exchange_id), *headers], body
+    )
 
     def accepts(fields):
         repeated = fields.get(EXCHANGE_HEADER)
         if repeated is None and request_id is not None:
             is_named = board.dialect.read_request_id(fields) == request_id
             return is_named and OUTCOME_HEADER in fields
-        return repeated == mark
+        return repeated == exchange_id
 
     endpoint = (entry.address, entry.peer_port)
     return await exchange(board.peer_pool, endpoint, method, data, accepts, timeout_s)
--- a/egretlift/serving/tests/test_peer_answers.py
+++ b/egretlift/serving/tests/test_peer_answers.py
@@ -78,7 +78,7 @@
     )
 
 
-def read_mark(head):
+def read_exchange_line(head):
     """Return the header line of a request that its answer repeats, b"" if none."""
     for line in head.split(b"\r\n"):
         if line.lower().startswith(b"egretlift-exchange:"):
@@ -104,7 +104,7 @@
     Parameters
     ----------
     script : list of callable
-        For each call, takes the marks of all calls so far and returns what the peer
+        For each call, takes the lines of all calls so far and returns what the peer
         writes, or (what it writes, what it writes when the next call has come).
     closes : bool
         Whether the peer closes the connection after the last part.
@@ -113,13 +113,13 @@
     -------
     tuple of (list of Answer, Board)
     """
-    script, marks, late = list(script), [], [b""]
+    script, lines, late = list(script), [], [b""]
 
     async def serve(reader, writer):
         try:
             while script:
-                marks.append(read_mark(await reader.readuntil(b"\r\n\r\n")))
-                part = script.pop(0)(marks)
+                lines.append(read_exchange_line(await reader.readuntil(b"\r\n\r\n")))
+                part = script.pop(0)(lines)
                 now, then = part if isinstance(part, tuple) else (part, b"")
                 writer.write(late.pop() + now)
                 late.append(then)
@@ -144,14 +144,14 @@
     return answers, board
 
 
-def answer_first(marks):
+def answer_first(lines):
     """Answer the call r0."""
-    return write_answer(marks[0], b"r0", body=b"first")
+    return write_answer(lines[0], b"r0", body=b"first")
 
 
-def answer_second(marks):
+def answer_second(lines):
     """Answer the call r1."""
-    return write_answer(marks[1], b"r1", body=b"second")
+    return write_answer(lines[1], b"r1", body=b"second")
 
 
 class TestPeerAnswers(unittest.TestCase):
@@ -232,20 +232,20 @@
         once the next call was sent.
         """
 
-        def repeat(marks):
-            return 2 * answer_first(marks)
+        def repeat(lines):
+            return 2 * answer_first(lines)
 
-        def repeat_later(marks):
-            return answer_first(marks), answer_first(marks)
+        def repeat_later(lines):
+            return answer_first(lines), answer_first(lines)
 
-        def repeat_later_unnamed(marks):
-            copy = answer_first(marks).replace(b"X-Request-Id: r0\r\n", b"")
-            return answer_first(marks), copy
+        def repeat_later_unnamed(lines):
+            copy = answer_first(lines).replace(b"X-Request-Id: r0\r\n", b"")
+            return answer_first(lines), copy
 
-        def refuse_later(marks):
+        def refuse_later(lines):
             extra = b"egretlift-outcome: refused-not-run\r\negretlift-reached: 0\r\n"
-            copy = write_answer(marks[0], b"r0", extra, b"503 Service Unavailable")
-            return answer_first(marks), copy
+            copy = write_answer(lines[0], b"r0", extra, b"503 Service Unavailable")
+            return answer_first(lines), copy
 
         for name, first in (
             ("once", answer_first),
@@ -266,7 +266,7 @@
         length = len(answer_first([b"egretlift-exchange: there 01234567\r\n"]))
         for cut in range(1, length):
             with self.subTest(cut=cut):
-                script = [lambda marks, cut=cut: answer_first(marks)[:-cut]]
+                script = [lambda lines, cut=cut: answer_first(lines)[:-cut]]
                 (answer,), _ = uvloop.run(run_script(script, closes=True))
                 self.assertIs(answer.outcome, Outcome.UNKNOWN)
                 self.assertGreaterEqual(answer.status, 500)
@@ -279,8 +279,8 @@
         )
         status = b"503 Service Unavailable"
 
-        def write(marks):
-            return write_answer(marks[0], b"r0", refused, status, b"{}")
+        def write(lines):
+            return write_answer(lines[0], b"r0", refused, status, b"{}")
 
         (answer,), _ = asyncio.run(run_script([write]))
         self.assertIs(answer.outcome, Outcome.REFUSED_NOT_RUN)
--- a/egretlift/sidecar/tests/test_peer_requests.py
+++ b/egretlift/sidecar/tests/test_peer_requests.py
@@ -13,7 +13,7 @@
 from egretlift.serving.tests.test_peer_answers import (
     HostSettings,
     make_peer,
-    read_mark,
+    read_exchange_line,
 )
 from egretlift.sidecar.documents import read_document
 from egretlift.sidecar.peers import handle_peer
@@ -56,17 +56,17 @@
 async def read_documents(script):
     """Read documents one after the other, and return them or the kinds of errors.
 
-    ``script`` has a function for each, which takes the marks of all requests so far and
+    ``script`` has a function for each, which takes the lines of all requests so far and
     returns (what the peer writes, what it writes when the next request has come).
     """
-    script, marks, results = list(script), [], []
+    script, lines, results = list(script), [], []
 
     async def serve(reader, writer):
         late = b""
         try:
             while script:
-                marks.append(read_mark(await reader.readuntil(b"\r\n\r\n")))
-                now, then = script.pop(0)(marks)
+                lines.append(read_exchange_line(await reader.readuntil(b"\r\n\r\n")))
+                now, then = script.pop(0)(lines)
                 writer.write(late + now)
                 late = then
             await reader.read()
--- a/egretlift/transport/exchange.py
+++ b/egretlift/transport/exchange.py
@@ -6,12 +6,8 @@
 import anyio
 
 from egretlift.clock import read_clock
-from egretlift.transport.connection import (
-    BufferedBytes,
-    Connection,
-    ExchangeBroken,
-    has_unread,
-)
+from egretlift.transport.connection import BufferedBytes, Connection, ExchangeBroken
+from egretlift.transport.sockets import has_unread
 
 __all__ = [
     "ExchangeBroken",
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -19,7 +19,6 @@
     Outcome,
     Refusal,
 )
-from egretlift.transport.connection import read_socket_error
 from egretlift.transport.messages import (
     BUFFERED_BODY_BYTES_MAXIMUM,
     Answer,
@@ -28,6 +27,7 @@
     read_outcome,
     select_answer_headers,
 )
+from egretlift.transport.sockets import read_socket_error
 
 # Raised before a connection exists, so the request cannot have been run.
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -51,7 +51,7 @@
     ----------
     request : Request or None
         None if the request could not be read; the response tells why.
-    mark : str or None
+    repeated_value : str or None
         Value of the header that its response repeats, None if it has none.
     may_overlap : bool
         Whether it may run before the requests ahead of it are answered.
@@ -60,11 +60,11 @@
     response : Response or None
     """
 
-    __slots__ = ("mark", "may_overlap", "request", "response", "task")
+    __slots__ = ("may_overlap", "repeated_value", "request", "response", "task")
 
-    def __init__(self, request, response=None, mark=None):
+    def __init__(self, request, response=None, repeated_value=None):
         self.request = request
-        self.mark = mark
+        self.repeated_value = repeated_value
         self.response = response
         self.task = None
         self.may_overlap = (
@@ -286,12 +286,14 @@
             not is_last,
         )
         self.is_ended = is_last
-        self.pending.append(PendingRequest(request, mark=self.read_mark()))
+        self.pending.append(
+            PendingRequest(request, repeated_value=self.read_repeated_value())
+        )
         self.start_message()
         if len(self.pending) >= PIPELINED_MAXIMUM:
             self.transport.pause_reading()
 
-    def read_mark(self):
+    def read_repeated_value(self):
         """Return the value that the response to the request being read repeats."""
         return self.fields.get(self.server.repeated_header)
 
@@ -313,7 +315,7 @@
         self.is_ended = True
         self.body = []
         response = make_refusal_response(refusal)
-        self.pending.append(PendingRequest(None, response, self.read_mark()))
+        self.pending.append(PendingRequest(None, response, self.read_repeated_value()))
         self.write_ready()
 
     def start_pending(self):
@@ -355,9 +357,9 @@
             closes = self.is_last(item)
             is_head = item.request is not None and item.request.method == "HEAD"
             response = item.response
-            if item.mark is not None:
-                mark = (self.server.repeated_header, item.mark)
-                response.headers = [*response.headers, mark]
+            if item.repeated_value is not None:
+                header = (self.server.repeated_header, item.repeated_value)
+                response.headers = [*response.headers, header]
             self.transport.write(encode_response(response, is_head, closes))
             if closes:
                 self.end_writing()
--- /dev/null
+++ b/egretlift/transport/sockets.py
@@ -0,0 +1,39 @@
+"""Options of sockets, and what the kernel knows of a connection."""
+
+import errno
+import select
+import socket
+
+# A connection is closed when sent bytes stay unacknowledged, or the keepalive probes of
+# an idle connection unanswered, for this long.
+USER_TIMEOUT_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+def read_socket_error(transport):
+    """Return the name of the pending error of a socket, "" if there is none."""
+    sock = transport.get_extra_info("socket")
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return errno.errorcode.get(code, str(code)) if code else ""
+
+
+def has_unread(transport):
+    """Return whether a socket has bytes that were not read yet, or has ended.
+
+    The event loop may not have told the connection of it yet.
+    """
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def set_socket_options(sock):
+    """Disable Nagle's algorithm, and detect an unreachable peer within seconds."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
