Split the following of the store into modules by what they read

It is now following.py (which hosts follow the store, and how), configurations.py, host_entries.py, own_entry.py and restored_entry.py.

--- a/egretlift/sidecar/eras.py
+++ b/egretlift/sidecar/eras.py
@@ -87,7 +87,7 @@
     ----------
     board : Board
     check_entry : callable
-        Coroutine function that takes the board; see `watching.check_own_entry`.
+        Coroutine function that takes the board; see `restored_entry.check_own_entry`.
     """
     while True:
         await board.era_changed.wait()
--- a/egretlift/sidecar/fetching.py
+++ b/egretlift/sidecar/fetching.py
@@ -4,8 +4,9 @@
 
 from egretlift.clock import read_clock
 from egretlift.errors import ObjectInvalid
+from egretlift.sidecar.configurations import apply_configuration
 from egretlift.sidecar.documents import read_document
-from egretlift.sidecar.watching import apply_configuration, receive_entries
+from egretlift.sidecar.host_entries import receive_entries
 from egretlift.transport.exchange import ExchangeBroken, NotSent
 
 CONFIGURATION_PATH = "/egretlift/in-force"
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -22,21 +22,18 @@
 from egretlift.platform.store import StoreClient
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.callers import handle_caller
+from egretlift.sidecar.configurations import follow_configuration
 from egretlift.sidecar.eras import adopt_era
 from egretlift.sidecar.fetching import fetch_configuration, fetch_hosts
 from egretlift.sidecar.heartbeats import handle_heartbeat, handle_readiness
+from egretlift.sidecar.host_entries import follow_hosts, forget_hosts
 from egretlift.sidecar.metrics import handle_metrics
+from egretlift.sidecar.own_entry import keep_entry
 from egretlift.sidecar.peers import handle_peer
 from egretlift.sidecar.rates import send_rates
 from egretlift.sidecar.reporting import send_reports
+from egretlift.sidecar.restored_entry import keep_entry_restored
 from egretlift.sidecar.suspects import share_suspects
-from egretlift.sidecar.watching import (
-    follow_configuration,
-    follow_hosts,
-    forget_hosts,
-    keep_entry,
-    keep_entry_restored,
-)
 from egretlift.signals import handle_signals
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.http_server import (
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -23,9 +23,9 @@
     send_datagram,
 )
 from egretlift.sidecar.eras import adopt_era
+from egretlift.sidecar.host_entries import receive_entries, remove_departed_hosts
 from egretlift.sidecar.rates import receive_usage, refill_quotas
 from egretlift.sidecar.suspects import receive_suspects
-from egretlift.sidecar.watching import receive_entries, remove_departed_hosts
 
 # A change is reported at once, but reports are at least this far apart, in seconds.
 REPORT_GAP_S = 0.03
--- a/egretlift/sidecar/tests/test_odd_entries.py
+++ b/egretlift/sidecar/tests/test_odd_entries.py
@@ -15,8 +15,9 @@
 from egretlift.platform.tests.test_store import run_with_store
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.datagrams import HOSTS, encode_datagram
+from egretlift.sidecar.host_entries import apply_host_entries
+from egretlift.sidecar.own_entry import keep_entry
 from egretlift.sidecar.tests.test_datagrams import make_board, receive
-from egretlift.sidecar.watching import apply_host_entries, keep_entry
 
 NAMES = ("host-a", "host-z")
 ITEM = b'{"metadata": {"name": "odd", "revision": REVISION}, "spec": {"entry": %s}}'
@@ -126,7 +127,7 @@
         board, store.era = make_board(), era
         board.store = client
         host, kind = board.settings.host, "egretlift-hosts"
-        with mock.patch("egretlift.sidecar.watching.HOST_KIND", kind):
+        with mock.patch("egretlift.sidecar.own_entry.HOST_KIND", kind):
             async with anyio.create_task_group() as tasks:
                 board.hosts_listed.set()
                 tasks.start_soon(keep_entry, board)
--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from egretlift.errors import PlatformUnavailable
 from egretlift.membership.peers import decode_entry, encode_entry
 from egretlift.membership.positions import make_position
 from egretlift.membership.tests.test_peers import make_entry
@@ -15,26 +16,22 @@
 from egretlift.platform import requests as dialect
 from egretlift.platform.bootfile import decode_settings
 from egretlift.platform.names import CONFIGURATION_KIND, HOST_KIND
-from egretlift.platform.store import StoreClient
+from egretlift.platform.store import HistoryGone, StoreClient
 from egretlift.platform.tests.test_decoding import SETTINGS
-from egretlift.sidecar import eras, watching
+from egretlift.sidecar import configurations, eras, host_entries
 from egretlift.sidecar.board import Board
+from egretlift.sidecar.configurations import apply_configuration
 from egretlift.sidecar.eras import adopt_era
-from egretlift.sidecar.watching import (
-    Watch,
-    apply_configuration,
+from egretlift.sidecar.following import Watch, follow, read_next
+from egretlift.sidecar.host_entries import (
     apply_host_entries,
     apply_newer_entries,
-    check_own_entry,
-    follow,
     forget_hosts,
-    keep_entry,
-    keep_entry_restored,
     read_hosts,
-    read_next,
     receive_entries,
-    write_entry,
 )
+from egretlift.sidecar.own_entry import keep_entry, write_entry
+from egretlift.sidecar.restored_entry import check_own_entry, keep_entry_restored
 from standins.metastore import Metastore, serve_metastore
 from standins.ports import PortBlocks, allocate_port, release_ports
 from standins.sidecars import make_configuration
@@ -152,7 +149,7 @@
                 copy = store.copy()
                 add_revisions(store, 20)
                 store.keeps_watches = keeps_watches
-                apply = watching.apply_configuration_objects
+                apply = configurations.apply_configuration_objects
                 follows = [True]
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(
@@ -203,7 +200,7 @@
 
             store.list = list_and_restore
             watch = Watch(HOST_KIND, True)
-            with self.assertRaises(watching.PlatformUnavailable):
+            with self.assertRaises(PlatformUnavailable):
                 await read_next(board, watch)
             _, position = await read_next(board, watch)
             self.assertEqual(position, make_position(2, store.revision))
@@ -298,7 +295,7 @@
                 apply_host_entries(board, *await read_next(board, watch))
                 store.restore(copy)
                 write(store, "far", era, boot="b2", state="ready")
-                with self.assertRaises(watching.HistoryGone):
+                with self.assertRaises(HistoryGone):
                     await board.store.watch(HOST_KIND, watch.position)
                 apply_host_entries(board, *await read_next(board, watch))
                 self.assertEqual(board.peers["far"].entry.state, state)
@@ -345,7 +342,7 @@
             apply_host_entries(board, *await read_next(board, watch))
             self.assertNotIn("far", board.peers)
             with (
-                patch.object(watching, "REMOVAL_INTERVAL_S", 0.05),
+                patch.object(host_entries, "REMOVAL_INTERVAL_S", 0.05),
                 anyio.move_on_after(0.5),
             ):
                 await forget_hosts(board)
