State the era of the store in reports only after it has changed

Reports had one value more, which daemons of the code before cannot read: in a rolling update each half would have seen the other as silent.

--- a/egretlift/membership/peers.py
+++ b/egretlift/membership/peers.py
@@ -142,7 +142,7 @@
     store_served : bool or None
         Whether the store serves the host; None if the host has not called it recently.
     store_era : int or None
-        Latest era of the store that the host knows, None for none.
+        Era of the store, None if the host has not seen it change.
     """
 
     __slots__ = (
@@ -171,7 +171,9 @@
 
 # Values that stand for the entry in a short report: host, boot and counter.
 REFERENCE_FIELDS = 3
-REPORT_FIELDS = 6
+# A report states the era of the store only after it has changed, so that daemons of an
+# earlier version, which know no era, understand the others.
+REPORT_FIELDS = 5
 
 
 def encode_report(report, is_short=False):
@@ -182,14 +184,16 @@
     values = [report.host, report.boot, report.counter]
     if not is_short:
         values = encode_entry(report.entry)
-    return [
+    values = [
         values,
         report.number,
         report.version,
         encode_load(report.load),
         report.store_served,
-        report.store_era,
     ]
+    if report.store_era is not None:
+        values.append(report.store_era)
+    return values
 
 
 def decode_report(document):
@@ -200,9 +204,10 @@
     ObjectInvalid
         If the value is not a valid report.
     """
-    if not isinstance(document, list) or len(document) != REPORT_FIELDS:
+    if not isinstance(document, list) or not 0 <= len(document) - REPORT_FIELDS <= 1:
         raise ObjectInvalid(f"report: {document!r:.200}", REMEDY)
-    values, number, version, load, store_served, store_era = document
+    values, number, version, load, store_served = document[:REPORT_FIELDS]
+    store_era = document[REPORT_FIELDS] if len(document) > REPORT_FIELDS else None
     if not is_integer(number) or not is_integer(version):
         raise ObjectInvalid(f"report: number and version are {document[1:3]!r}", REMEDY)
     found = decode_load(load)
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -412,6 +412,11 @@
         """Return the version of the configuration in force, 0 for none."""
         return self.configuration.version if self.configuration else 0
 
+    def read_reported_era(self):
+        """Return the era of the store if this process has seen it change, else None."""
+        has_changed = ("store_restores", "") in self.counters
+        return self.store_era if has_changed else None
+
     def count_hosts(self):
         """Return the number of known hosts of this service, including this one."""
         return 1 + count_hosts(self.ensure_directory(), self.settings.service)
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -78,7 +78,7 @@
         board.read_version(),
         board.measure_load(),
         board.store_ok,
-        board.store_era,
+        board.read_reported_era(),
     )
 
 
