--- a/egretlift/serving/execution.py
+++ b/egretlift/serving/execution.py
@@ -251,8 +251,8 @@
 def log_unusual_answer(board, call, received):
     """Log and count an answer that came after others or lacks a length or a name.
 
-    An answer that names no request may have been waited on until the time limit, as a
-    named one might have followed.
+    One that names no request may have been held back, as a named one might have
+    followed; see `Connection.hold_answer`.
     """
     if not received.framed:
         board.count("unframed_answers")
