--- a/egretlift/transport/tests/test_other_readers.py
+++ b/egretlift/transport/tests/test_other_readers.py
@@ -12,8 +12,8 @@
 from egretlift.settings import Settings
 from egretlift.transport.forward import open_session, send_request
 from egretlift.transport.messages import BUFFERED_BODY_BYTES_MAXIMUM
+from egretlift.transport.tests.test_connection_end import serve_once
 from egretlift.transport.tests.test_cut_answers import Call
-from egretlift.transport.tests.test_exchange import RESET_ON_CLOSE
 
 LOOPS = (("asyncio", asyncio.run), ("uvloop", uvloop.run))
 PAUSE_S = 0.05
@@ -30,19 +30,6 @@
 FIRST, SECOND, COPY = (make_answer(b'{"n": %d}' % n) for n in (1, 2, 9))
 
 
-async def serve_once(listener, data, resets, pause_s):
-    """Answer one request with ``data`` and close or reset the connection."""
-    loop = asyncio.get_running_loop()
-    sock, _ = await loop.sock_accept(listener)
-    with sock:
-        await loop.sock_recv(sock, 65536)
-        sock.send(data)
-        if pause_s:
-            await asyncio.sleep(pause_s)
-        if resets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
-
 async def receive(make_reader, data, resets, pause_s):
     """Return what a reader takes for whole, None if it takes nothing."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
