--- a/integration/ci.py
+++ b/integration/ci.py
@@ -83,15 +83,20 @@
 def find_test(name):
     """Return the name of the test to which a result belongs.
 
-    A sub-test is reported as its test followed by its parameters, and a row of a
-    parameterised test as its test followed by a colon and the row's number.
+    A sub-test is reported as its test followed by its message in square brackets, its
+    parameters in round ones, or both, and a row of a parameterised test as its test
+    followed by a colon and the row's number.
 
     Examples
     --------
     >>> find_test("a.T.test_b (fault='x')"), find_test("a.T.test_b:2"), find_test("x")
     ('a.T.test_b', 'a.T.test_b', 'x')
+    >>> find_test("a.T.test_b [late] (loop='uvloop')"), find_test("a.T.test_b [1: x]")
+    ('a.T.test_b', 'a.T.test_b')
     """
-    return name.partition(" (")[0].partition(":")[0]
+    for separator in (" (", " [", ":"):
+        name = name.partition(separator)[0]
+    return name
 
 
 def main():
