Decode the entries of a list of hosts only if they have changed

Each read of the list of all hosts, every 15 s from another daemon, decoded each entry to see whether it is valid: 20.9 us an entry, 0.33 s at 16,000 hosts, where comparing revisions had been enough before the reading of odd entries. An entry at the position that was applied last for its host is now passed over: 1.3 us (a microbenchmark with 4,000 hosts, on a busy machine). test_unchanged_entries fails on the code before.

--- a/egretlift/sidecar/host_entries.py
+++ b/egretlift/sidecar/host_entries.py
@@ -198,12 +198,24 @@
     return [
         found
         for found in objects
+        if not is_unchanged(board, found)
         # An invalid entry states no era, so that it may seem older than it is.
-        if (is_invalid(found) or is_newer(board, found))
+        and (is_invalid(found) or is_newer(board, found))
         and apply_host_entry(board, found)
     ]
 
 
+def is_unchanged(board, found):
+    """Return whether an entry is the one that was applied last for its host.
+
+    Lists of all hosts are read at short intervals, and most entries in them are.
+    """
+    peer = board.peers.get(found.name)
+    if peer is None or found.spec is None:
+        return False
+    return 0 < peer.position == read_position(found)
+
+
 def apply_host_entries(board, objects, list_position):
     """Apply entries of hosts from the store and forward the new ones to the zone."""
     if list_position is not None:
--- a/egretlift/sidecar/tests/test_datagrams.py
+++ b/egretlift/sidecar/tests/test_datagrams.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest.mock import patch
 
 from egretlift.clock import read_clock
 from egretlift.load import Load
@@ -17,6 +18,7 @@
 from egretlift.platform.bootfile import decode_settings
 from egretlift.platform.configuration import decode_configuration
 from egretlift.platform.tests.test_decoding import SETTINGS
+from egretlift.sidecar import entries
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.datagrams import (
     HOSTS,
@@ -149,6 +151,25 @@
         receive(board, encode_datagram(HOSTS, [[[9, "never", None]]]))
         self.assertFalse(board.peers)
 
+    def test_removal_at_the_revision_of_the_entry(self):
+        """Guard against a removed host that stays known, as its revision is known."""
+        board = make_board()
+        entry = encode_entry(make_entry("far", zone="other"))
+        receive(board, encode_datagram(HOSTS, [[[5, "far", entry]]]))
+        self.assertIn("far", board.peers)
+        receive(board, encode_datagram(HOSTS, [[[5, "far", None]]]))
+        self.assertNotIn("far", board.peers)
+
+    def test_unchanged_entries(self):
+        """Guard against decoding the entries of all hosts at each read of the list."""
+        board = make_board()
+        entry = encode_entry(make_entry("far", zone="other"))
+        data = encode_datagram(HOSTS, [[[5, "far", entry]]])
+        receive(board, data)
+        with patch.object(entries, "decode_entry") as decode:
+            receive(board, data)
+            decode.assert_not_called()
+
 
 class TestRates(unittest.TestCase):
     """Usage of a rate that the owners of different zones exchange."""
