Use the checks of values that exist in place of twins

The era of the store and the ages of suspects had range checks of their own beside is_integer and is_number; an age that is true or false is now refused, as elsewhere. Three readers of the settings file that differed in the check alone are one.

--- a/egretlift/membership/positions.py
+++ b/egretlift/membership/positions.py
@@ -4,6 +4,8 @@
 one number, as the transaction identifiers of ZooKeeper do, and is 0 for "not stored".
 """
 
+from egretlift.documents import is_integer
+
 # Positions have at most 18 digits, so that every JSON reader takes them for whole
 # numbers: 400 changes a second reach the largest revision after 87 years.
 REVISION_BITS = 40
@@ -33,4 +35,4 @@
 
 def is_era(value):
     """Return whether a value that another process stated can be an era."""
-    return type(value) is int and 0 <= value <= ERA_MAXIMUM
+    return is_integer(value, 0, ERA_MAXIMUM)
--- a/egretlift/platform/bootfile.py
+++ b/egretlift/platform/bootfile.py
@@ -46,31 +46,21 @@
     return None
 
 
-def read_text(document, name, errors):
-    """Return a printable string; add to ``errors`` if it is missing or empty."""
-    value = document.get(name)
-    if not is_text(value):
-        remedy = "give a string that is not empty in the settings file"
-        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
-    return value
+def read_field(document, name, is_valid, expected, errors):
+    """Return a field of the file; add to ``errors`` if it is not valid.
 
-
-def read_name(document, name, errors):
-    """Return a name that fits into a header; add to ``errors`` if it is none."""
+    ``is_valid`` is called with the value, and ``expected`` says in the remedy what is.
+    """
     value = document.get(name)
-    if not is_header_text(value):
-        remedy = "give a name in Latin-1 characters in the settings file"
+    if not is_valid(value):
+        remedy = f"give {expected} in the settings file"
         errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
     return value
 
 
-def read_address(document, name, errors):
-    """Return an IP address; add to ``errors`` if it is none."""
-    value = document.get(name)
-    if not is_address(value):
-        remedy = "give an IP address in the settings file"
-        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
-    return value
+def read_text(document, name, errors):
+    """Return a printable string; add to ``errors`` if it is missing or empty."""
+    return read_field(document, name, is_text, "a string that is not empty", errors)
 
 
 def read_ports(document, errors):
@@ -86,12 +76,13 @@
 
 def read_section(document, name, errors):
     """Return a section of the file, {} with an entry in ``errors`` if not a dict."""
-    value = document.get(name)
-    if not isinstance(value, dict):
-        remedy = "give a JSON object in the settings file"
-        errors.append(SettingError(f"{name} is {value!r:.100}", remedy))
-        return {}
-    return value
+    value = read_field(document, name, is_dict, "a JSON object", errors)
+    return value if is_dict(value) else {}
+
+
+def is_dict(value):
+    """Return whether a JSON value is an object."""
+    return isinstance(value, dict)
 
 
 def read_heartbeat_s(document, errors):
@@ -158,9 +149,11 @@
     platform = read_section(document, "platform", errors)
     ports = read_ports(document, errors)
     settings = SidecarSettings(
-        host=read_name(document, "node_name", errors),
+        host=read_field(
+            document, "node_name", is_header_text, "a name in Latin-1", errors
+        ),
         zone=read_text(document, "zone", errors),
-        address=read_address(document, "ip", errors),
+        address=read_field(document, "ip", is_address, "an IP address", errors),
         service=read_text(document, "service", errors),
         # The platform calls the port for callers on this machine "outbound". It does
         # not define the use of "inbound", on which the daemon serves other daemons.
--- a/egretlift/sidecar/suspects.py
+++ b/egretlift/sidecar/suspects.py
@@ -4,6 +4,7 @@
 
 from egretlift.admission import quarantine as policy
 from egretlift.clock import read_clock
+from egretlift.documents import is_number
 from egretlift.errors import ObjectInvalid
 from egretlift.serving.upstream_ends import enforce_quarantine, log_release
 from egretlift.sidecar.datagrams import SUSPECTS, encode_datagram, send_datagram
@@ -165,7 +166,7 @@
         and all(is_fingerprint(name) for name in names)
         and all(len(found) <= policy.ENDS_MAXIMUM for found in suspects.values())
         and all(len(upstream) <= UPSTREAM_NAME_MAXIMUM for upstream, _ in ends)
-        and all(is_age(age_s) for age_s in ages)
+        and all(is_number(age_s, 0, AGE_MAXIMUM_S) for age_s in ages)
     ):
         raise ObjectInvalid(f"suspects: {values!r:.200}", REMEDY)
     return service, host, suspects, completions
@@ -174,8 +175,3 @@
 def is_fingerprint(value):
     """Return whether a decoded value can be a fingerprint."""
     return isinstance(value, str) and len(value) == FINGERPRINT_DIGITS
-
-
-def is_age(value):
-    """Return whether a decoded value can be a number of seconds since an event."""
-    return isinstance(value, int | float) and 0 <= value <= AGE_MAXIMUM_S
