Share the tables that keep the latest entries only

Three new tables forgot their earliest entries each in its own way, as the statements of upstreams did before. The position of the own object was computed in two places.

--- a/egretlift/admission/quarantine.py
+++ b/egretlift/admission/quarantine.py
@@ -13,6 +13,8 @@
 
 from hashlib import blake2b
 
+from egretlift.recent import remember
+
 FINGERPRINT_BYTES = 8
 # Bytes of a body that are digested, besides its length. More would delay other calls: a
 # digest takes up to two milliseconds for each megabyte.
@@ -219,9 +221,8 @@
         Whether other daemons should hear of it, as it was isolated or quarantined.
     """
     completed = quarantine.completed
-    completed[fingerprint] = max(completed_at, completed.pop(fingerprint, completed_at))
-    if len(completed) > COMPLETED_MAXIMUM:
-        del completed[next(iter(completed))]
+    latest = max(completed_at, completed.get(fingerprint, completed_at))
+    remember(completed, fingerprint, latest, COMPLETED_MAXIMUM)
     suspect = quarantine.suspects.get(fingerprint)
     if suspect is None:
         return False
--- a/egretlift/membership/statements.py
+++ b/egretlift/membership/statements.py
@@ -9,6 +9,7 @@
 
 from egretlift.documents import is_number
 from egretlift.load import RATE_MAXIMUM_PER_S
+from egretlift.recent import remember
 
 # Upstreams whose statements are remembered, the ones last heard of.
 STATEMENTS_MAXIMUM = 1024
@@ -93,12 +94,10 @@
     statement : Statement
         The statement that an upstream leaves is final.
     """
-    known = statements.pop(statement.upstream, None)
+    known = statements.get(statement.upstream)
     if known is not None and known.is_leaving:
         statement.is_leaving = True
-    statements[statement.upstream] = statement
-    while len(statements) > STATEMENTS_MAXIMUM:
-        del statements[next(iter(statements))]
+    remember(statements, statement.upstream, statement, STATEMENTS_MAXIMUM)
 
 
 def end_limit(statements, upstream_id, born):
--- a/egretlift/sidecar/entries.py
+++ b/egretlift/sidecar/entries.py
@@ -5,6 +5,7 @@
 from egretlift.membership.peers import decode_entry
 from egretlift.membership.positions import is_era, split_position
 from egretlift.platform.store import StoredObject
+from egretlift.recent import remember
 
 # Invalid entries that are remembered, so that each is logged only once.
 INVALID_MAXIMUM = 1024
@@ -61,10 +62,7 @@
     known, change = board.invalid_entries, (found.era, found.revision)
     if known.get(found.name) == change:
         return False
-    known.pop(found.name, None)
-    known[found.name] = change
-    while len(known) > INVALID_MAXIMUM:
-        del known[next(iter(known))]
+    remember(known, found.name, change, INVALID_MAXIMUM)
     board.count("invalid_entries")
     board.log_change(
         "entry-invalid", name=found.name, revision=found.revision, cause=str(error)
--- a/egretlift/sidecar/host_entries.py
+++ b/egretlift/sidecar/host_entries.py
@@ -7,6 +7,7 @@
 from egretlift.membership.peers import find_abandoned, find_departed
 from egretlift.membership.positions import make_position, split_position
 from egretlift.platform.names import HOST_KIND
+from egretlift.recent import remember
 from egretlift.sidecar.datagrams import HOSTS, encode_datagram, send_datagram
 from egretlift.sidecar.entries import (
     decode_forwarded_entry,
@@ -20,6 +21,7 @@
     FIRST_HEARTBEATS,
     apply_own_entry,
     is_own_newer,
+    read_stored_position,
     receive_own_entry,
     request_writing,
 )
@@ -57,7 +59,7 @@
 def handle_invalid_entry(board, found, error):
     """Log an invalid entry once; this host writes its own one again in its place."""
     is_new = record_invalid_entry(board, found, error)
-    own = make_position(board.own_era, board.own_revision or 0)
+    own = read_stored_position(board)
     is_own = found.name == board.settings.host and not board.stopping
     if is_own and is_new and make_position(found.era, found.revision) > own:
         board.own_era, board.own_revision = found.era, found.revision
@@ -83,10 +85,7 @@
     # A host whose reports arrive stays registered; it writes its entry again.
     peer.position = 0
     peer.removed = True
-    board.removals.pop(name, None)
-    board.removals[name] = position
-    if len(board.removals) > REMOVALS_MAXIMUM:
-        del board.removals[next(iter(board.removals))]
+    remember(board.removals, name, position, REMOVALS_MAXIMUM)
     remove_departed_hosts(board)
 
 
@@ -114,7 +113,7 @@
         if name not in listed and 0 < position <= list_position and not is_lost:
             handle_removed_entry(board, name, list_position)
     host = board.settings.host
-    own = make_position(board.own_era, board.own_revision or 0)
+    own = read_stored_position(board)
     if host not in listed and own <= list_position:
         handle_removed_entry(board, host, list_position)
 
--- a/egretlift/sidecar/own_entry.py
+++ b/egretlift/sidecar/own_entry.py
@@ -5,6 +5,7 @@
 from egretlift.admission.slots import refuse_waiting
 from egretlift.errors import ConflictError, ObjectInvalid, PlatformUnavailable
 from egretlift.membership.peers import encode_entry
+from egretlift.membership.positions import make_position
 from egretlift.membership.upstream import restore_upstream
 from egretlift.platform.names import HOST_KIND
 from egretlift.sidecar.entries import decode_stored_entry, record_invalid_entry
@@ -69,6 +70,14 @@
     board.log_change("own-entry-outdated", cause=cause)
 
 
+def read_stored_position(board):
+    """Return the position of this host's object in the store.
+
+    It is the beginning of the era if no object is known.
+    """
+    return make_position(board.own_era, board.own_revision or 0)
+
+
 def is_own_newer(board, found):
     """Return whether the store has had this host's entry later than known."""
     if board.own_revision is None:
