Share the restart of a daemon and the late heartbeat between tests

Five tests killed a daemon and started it again, each in its own words, and two sent a heartbeat from before a drain.

--- a/egretlift/platform/tests/test_odd_settings.py
+++ b/egretlift/platform/tests/test_odd_settings.py
@@ -12,16 +12,14 @@
 
 from egretlift.errors import SettingError
 from egretlift.membership.tests.test_odd_entries import JSON_VALUES
-from egretlift.platform import requests as dialect
 from egretlift.platform.bootfile import (
     DEFAULT_BOUNDS,
     decode_settings,
-    read_settings_file,
 )
 from egretlift.platform.tests.odd import VALUES
 from egretlift.platform.tests.test_decoding import SETTINGS
-from egretlift.sidecar.board import Board
 from egretlift.sidecar.main import reload_settings
+from egretlift.sidecar.tests.test_reload import make_reloading_board
 
 # Names in the file, by the way to them.
 PLACES = (
@@ -68,9 +66,7 @@
         """Guards against a changed file that ends the daemon, or is taken over."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "boot.json")
-            path.write_text(json.dumps(SETTINGS))
-            board = Board(read_settings_file(path), dialect, None)
-            board.settings_path = path
+            board = make_reloading_board(path)
             before = board.settings
             for place in PLACES:
                 for name, value in VALUES:
--- a/egretlift/sidecar/tests/test_reload.py
+++ b/egretlift/sidecar/tests/test_reload.py
@@ -12,6 +12,14 @@
 from egretlift.sidecar.main import reload_settings
 
 
+def make_reloading_board(path):
+    """Write a valid settings file and return a board that reads it."""
+    path.write_text(json.dumps(SETTINGS))
+    board = Board(read_settings_file(path), dialect, None)
+    board.settings_path = path
+    return board
+
+
 class TestReload(unittest.TestCase):
     """A sequence of valid, invalid and missing settings files."""
 
@@ -19,9 +27,7 @@
         """Guard against an invalid file that stops a daemon or changes its settings."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "boot.json")
-            path.write_text(json.dumps(SETTINGS))
-            board = Board(read_settings_file(path), dialect, None)
-            board.settings_path = path
+            board = make_reloading_board(path)
             board.settings_content = path.read_bytes()
             for name, text, expected in (
                 ("same", json.dumps(SETTINGS), 2.0),
--- a/integration/soak.py
+++ b/integration/soak.py
@@ -91,9 +91,8 @@
         running = [s for s in self.sidecars if s.name not in self.stopped]
         return self.random.choice(running) if running else None
 
-    async def restart(self, sidecar):
+    async def start_again(self, sidecar):
         """Start an ended daemon again."""
-        sidecar.settings["bootstrap"] = False
         sidecar.process = await sidecar.start(self.folder.name, self.root)
         self.stopped.discard(sidecar.name)
 
@@ -115,7 +114,7 @@
         sidecar.signal(signal.SIGKILL)
         await sidecar.process.wait()
         await asyncio.sleep(mesh.random.random())
-        await mesh.restart(sidecar)
+        await mesh.start_again(sidecar)
 
 
 async def stop_daemon(mesh):
@@ -139,7 +138,7 @@
             mesh.violations.append(f"{sidecar.name} did not stop in time")
             sidecar.signal(signal.SIGKILL)
             await sidecar.process.wait()
-        await mesh.restart(sidecar)
+        await mesh.start_again(sidecar)
 
 
 async def pause_daemon(mesh):
@@ -261,7 +260,7 @@
             if status is not None and sidecar.name not in mesh.stopped:
                 mesh.violations.append(f"{sidecar.name} ended by itself: {status}")
                 mesh.stopped.add(sidecar.name)
-                await mesh.restart(sidecar)
+                await mesh.start_again(sidecar)
         await asyncio.sleep(0.05)
 
 
--- a/integration/test_own_answers.py
+++ b/integration/test_own_answers.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import random
-import signal
 import unittest
 from pathlib import Path
 
@@ -103,9 +102,7 @@
                 ]
                 await asyncio.sleep(0.2)
                 first = mesh.sidecars[0]
-                first.signal(signal.SIGKILL)
-                await first.process.wait()
-                first.process = await first.start(mesh.folder.name, mesh.root)
+                await mesh.restart(first)
                 async with asyncio.timeout(60.0):
                     await asyncio.gather(*calls)
                 ran = [len(s.upstream.requests) for s in mesh.sidecars]
--- a/integration/test_query_of_death.py
+++ b/integration/test_query_of_death.py
@@ -1,7 +1,6 @@
 """Requests that end the upstreams that run them, with real sidecar daemons."""
 
 import asyncio
-import signal
 import time
 import unittest
 
@@ -117,10 +116,7 @@
                 await Load(mesh).run(3.0)
                 before = count_ends(mesh)
                 for sidecar in mesh.sidecars:
-                    sidecar.signal(signal.SIGKILL)
-                    await sidecar.process.wait()
-                    sidecar.settings["bootstrap"] = False
-                    sidecar.process = await sidecar.start(mesh.folder.name, mesh.root)
+                    await mesh.restart(sidecar)
                     await mesh.wait_until_ready(sidecar)
                     await asyncio.sleep(0.3)
                 await Load(mesh).run(2.0)
--- a/integration/test_restored_store.py
+++ b/integration/test_restored_store.py
@@ -1,7 +1,6 @@
 """Guarantees of sidecar daemons, run as processes, when the store is restored."""
 
 import asyncio
-import signal
 import unittest
 
 from standins.sidecars import SidecarMesh, make_configuration, wait_for
@@ -36,9 +35,7 @@
 
 async def restart(mesh, sidecar):
     """Kill a daemon, start it again and wait until it is ready."""
-    sidecar.signal(signal.SIGKILL)
-    await sidecar.process.wait()
-    sidecar.process = await sidecar.start(mesh.folder.name)
+    await mesh.restart(sidecar)
     await mesh.wait_until_ready(sidecar)
 
 
@@ -128,13 +125,8 @@
             store.restore(copy)
             await asyncio.sleep(REWRITE_S)
             await restart(mesh, first)
-            # A heartbeat sent before the drain arrives late.
-            first.upstream.state, first.upstream.beats = "ready", 0
-            await mesh.beat(first)
-            before = len(first.upstream.requests)
-            for _ in range(10):
-                await mesh.ask(first)
-            self.assertEqual(len(first.upstream.requests), before)
+            late = await mesh.count_requests_after_late_heartbeat(first)
+            self.assertEqual(late, 0)
 
         run_mesh(scenario)
 
--- a/integration/test_sidecar.py
+++ b/integration/test_sidecar.py
@@ -283,17 +283,10 @@
             first.upstream.state = "draining"
             await mesh.beat(first)
             first.upstream.state = "gone"
-            first.signal(signal.SIGKILL)
-            await first.process.wait()
-            first.process = await first.start(mesh.folder.name)
+            await mesh.restart(first)
             await mesh.wait_until_ready(first)
-            # A heartbeat sent before the drain arrives late.
-            first.upstream.state, first.upstream.beats = "ready", 0
-            await mesh.beat(first)
-            before = len(first.upstream.requests)
-            for _ in range(10):
-                await mesh.ask(first)
-            self.assertEqual(len(first.upstream.requests), before)
+            late = await mesh.count_requests_after_late_heartbeat(first)
+            self.assertEqual(late, 0)
 
         run_mesh(scenario)
 
@@ -342,9 +335,7 @@
 
         async def scenario(mesh):
             first = mesh.sidecars[0]
-            first.signal(signal.SIGKILL)
-            await first.process.wait()
-            first.process = await first.start(mesh.folder.name)
+            await mesh.restart(first)
             pid = first.process.pid
             while not (is_ignored := has_signal(pid, "SigIgn", signal.SIGHUP)):
                 if has_signal(pid, "SigCgt", signal.SIGHUP):
--- a/integration/test_upstream_limit.py
+++ b/integration/test_upstream_limit.py
@@ -1,7 +1,6 @@
 """Limits and departures that upstreams state in answers, with real sidecar daemons."""
 
 import asyncio
-import signal
 import time
 import unittest
 
@@ -76,14 +75,6 @@
     return largest
 
 
-async def restart(mesh, sidecar):
-    """Kill a daemon and start it again at once."""
-    sidecar.signal(signal.SIGKILL)
-    await sidecar.process.wait()
-    sidecar.settings["bootstrap"] = False
-    sidecar.process = await sidecar.start(mesh.folder.name, mesh.root)
-
-
 def compute_allowed(rate_per_s):
     """Return how many requests an upstream may get in ``WINDOW_S``."""
     return OVERAGE * rate_per_s * WINDOW_S + SLACK
@@ -128,7 +119,7 @@
                 load = asyncio.create_task(Load(mesh).run(80, 12.0, only=1))
                 for at in (4.0, 8.0):
                     await asyncio.sleep(began + at - time.monotonic())
-                    await restart(mesh, mesh.sidecars[0])
+                    await mesh.restart(mesh.sidecars[0])
                 await load
                 times = [
                     at
@@ -171,7 +162,7 @@
             told = time.monotonic()
             await asyncio.sleep(1.0)
             if killed:
-                await restart(mesh, mesh.sidecars[0])
+                await mesh.restart(mesh.sidecars[0])
             await load
             counted = "1-" if killed else ("0-", "1-")
             late = [
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -383,6 +383,25 @@
         await wait_for(all_stored)
         await asyncio.sleep(1.2)
 
+    async def restart(self, sidecar):
+        """Kill a daemon and start it again, without waiting until it is ready."""
+        sidecar.signal(signal.SIGKILL)
+        await sidecar.process.wait()
+        sidecar.process = await sidecar.start(self.folder.name, self.root)
+
+    async def count_requests_after_late_heartbeat(self, sidecar, count=10):
+        """Return how many requests an upstream gets that has left.
+
+        A heartbeat that it sent before arrives late, and ``count`` requests follow.
+        """
+        upstream = sidecar.upstream
+        upstream.state, upstream.beats = "ready", 0
+        await self.beat(sidecar)
+        before = len(upstream.requests)
+        for _ in range(count):
+            await self.ask(sidecar)
+        return len(upstream.requests) - before
+
     async def ask(self, sidecar, path="/view/1", request_id="r", key=KEY, **headers):
         """Send a caller's request to a daemon; return (status, headers, text).
 
