--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,8 +21,10 @@
 SERVICES = ["scheduler", "checkout", "proofing", "galleries"]
 LAYOUT = [(zone, service) for zone in ZONES for service in SERVICES]
 ROUTES = [
-    ["calendar", DOMAIN, "/calendar/", "idempotent", 2, 1, 2, 2, False, "scheduler"],
+    [f"r-{name}", DOMAIN, f"/{name}/", "idempotent", 2, 1, 2, 2, False, name]
+    for name in SERVICES
 ]
+TARGETS = [f"/{name}/1" for name in SERVICES]
 
 
 def work(message):
@@ -65,7 +67,7 @@
         traffic = [
             asyncio.create_task(
                 client.send_steadily(
-                    PER_MACHINE_S, f"{number:04x}", "GET", "/calendar/1", ends_at
+                    PER_MACHINE_S, f"{number:04x}", "GET", TARGETS, ends_at
                 )
             )
             for number, client in enumerate(clients)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -36,7 +36,7 @@
         traffic = [
             asyncio.create_task(
                 client.send_steadily(
-                    PER_MACHINE_S, f"{number:04x}", "GET", "/calendar/1", ends_at
+                    PER_MACHINE_S, f"{number:04x}", "GET", ["/calendar/1"], ends_at
                 )
             )
             for number, client in enumerate(clients)
--- a/review/client.py
+++ b/review/client.py
@@ -56,10 +56,11 @@
         self.statuses[request_id] = status
         return status
 
-    async def send_steadily(self, per_s, prefix, method, target, until):
-        """Send requests at a rate until a monotonic time."""
+    async def send_steadily(self, per_s, prefix, method, targets, until):
+        """Send requests to targets in turn, at a rate, until a monotonic time."""
         number, started = 0, time.monotonic()
         while time.monotonic() < until:
+            target = targets[number % len(targets)]
             number += 1
             request_id = f"{prefix}{number:012x}"
             self.tasks.append(
