--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 
 HEARTBEAT_LATE_S = 5.0
 STOP_AFTER_S = 0.3
-LINGER_S = 12.0
+LINGER_S = 10.0
 DEADLINE_S = 2.0
 PER_MACHINE_S = 10
 LAYOUT = [(f"ie-east-{zone}", "scheduler") for zone in "aabbcc"]
