--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,75 +1,102 @@
-"""Case 5: proper requests are refused with 413 and 431 below the stated limits."""
+"""Case 5: a change is not in force in time where the hosts that watch the store end."""
 
 import asyncio
+import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.mesh import DOMAIN, LIMITS, Mesh, make_fields, run_case
-from review.wire import encode_request, read_message, split_address
+from review.client import Client
+from review.mesh import BOUNDS, DOMAIN, Mesh, make_configuration, run_case
 
-DEADLINE_S = 5.0
-COUNT = 20
-USUAL_BODY_BYTES, LARGE_BODY_BYTES = 8_000_000, 20_000_000
-USUAL_FIELD_BYTES, LARGE_FIELD_BYTES = 4_000, 12_000
-ROUTES = [
-    ["proof", DOMAIN, "/proof/", "idempotent", 5, 1.2, 2, 2, False, "proofing"],
-]
-LAYOUT = [(f"ie-east-{zone}", "proofing") for zone in "abc"]
-OWN_STATUSES_ALLOWED = (408, 421, 429)
+DARK_S = 2.0
+DEADLINE_S = 2.0
+PER_MACHINE_S = 20
+CALM_S = 5.0
+OBSERVED_S = 8.0
+KILLED_SHARE = 0.55
+ZONES = [f"ie-east-{zone}" for zone in "abc"]
+SERVICES = ["scheduler", "checkout", "proofing", "galleries"]
+LAYOUT = [(zone, service) for zone in ZONES for service in SERVICES]
+
+
+def make_routes(added):
+    """Return the routes before a change, or after it with one added and one dropped."""
+    names = ["added" if added else "dropped", *SERVICES]
+    services = ["scheduler", *SERVICES]
+    return [
+        [f"r-{name}", DOMAIN, f"/{name}/", "idempotent", 2, 1, 2, 2, False, service]
+        for name, service in zip(names, services, strict=True)
+    ]
 
 
 def work(message):
     """Return the work of a request in seconds, and the body of its answer."""
-    return 0.05, b"stored %d bytes" % len(message.body)
-
-
-async def send(machine, request_id, fields, body):
-    """Send one request on a connection of its own and return the answer, or None."""
-    reader, writer = await asyncio.open_connection(*split_address(machine.outbound))
-    try:
-        async with asyncio.timeout(DEADLINE_S):
-            head = [*make_fields(request_id, DEADLINE_S), *fields]
-            data = encode_request("POST", "/proof/1", head, body)
-            assert len(data) - len(body) <= LIMITS["max_header_bytes"]
-            assert len(body) <= LIMITS["max_body_bytes"]
-            writer.write(data)
-            return await read_message(reader)
-    except (OSError, TimeoutError):
-        return None
-    finally:
-        writer.close()
-
-
-def is_denied(answer):
-    """Return whether an answer is a 3xx or 4xx of the daemon's own that counts."""
-    return (
-        answer is not None
-        and 300 <= answer.status < 500
-        and answer.status not in OWN_STATUSES_ALLOWED
-        and "x-server-seal" not in answer.fields
-    )
+    return 0.02, b"free"
+
+
+async def power_off(record, machine):
+    """Let a daemon lose power, and start it again when power is back."""
+    machine.signal(signal.SIGKILL)
+    await machine.process.wait()
+    await asyncio.sleep(DARK_S)
+    await machine.start()
 
 
 async def scenario(record, trouble):
-    """Return whether no more requests were denied than the rule allows."""
-    body = bytes(LARGE_BODY_BYTES if trouble else USUAL_BODY_BYTES)
-    field = "c" * (LARGE_FIELD_BYTES if trouble else USUAL_FIELD_BYTES)
-    async with Mesh(record, LAYOUT, ROUTES, work) as mesh:
-        machine = mesh.machines[0]
-        requests = [(f"b{n:015x}", [], body) for n in range(COUNT)]
-        requests += [(f"f{n:015x}", [("Cookie", field)], b"") for n in range(COUNT)]
-        denied = 0
-        for request_id, fields, content in requests:
-            answer = await send(machine, request_id, fields, content)
-            status = answer.status if answer else 0
-            size = sum(len(value) for _, value in fields) + len(content)
-            record.write(request_id, f"{size} bytes: status", status)
-            denied += is_denied(answer)
-        allowed = 5 + len(requests) / 500
-        record.tell(f"{denied} of {len(requests)} denied, allowed: {allowed:.2f}")
-        return denied <= allowed
+    """Return whether the other daemons get the new version in time."""
+    async with Mesh(record, LAYOUT, make_routes(False), work) as mesh:
+        store = mesh.store
+        await asyncio.sleep(CALM_S)
+        readers = store.find_watching("config")
+        record.tell("machines that watch the configuration:", *sorted(readers))
+        struck = [machine for machine in mesh.machines if machine.name in readers]
+        assert len(struck) <= KILLED_SHARE * len(mesh.machines)
+        others = [machine for machine in mesh.machines if machine not in struck]
+        restarts = []
+        if trouble:
+            record.tell("power is lost for", DARK_S, "s at these machines")
+            restarts = [asyncio.create_task(power_off(record, m)) for m in struck]
+            await asyncio.sleep(0.05)
+        spec = make_configuration(make_routes(True), 1000, 1000)
+        spec["version"] = 9
+        store.change("config", "main", spec)
+        acknowledged_at = time.monotonic()
+        record.tell("version 9 is acknowledged")
+        clients = [Client(machine, DEADLINE_S) for machine in others]
+        await asyncio.gather(
+            *(
+                client.send_steadily(
+                    PER_MACHINE_S,
+                    f"{number:04x}",
+                    "GET",
+                    ["/added/1", "/dropped/1"],
+                    acknowledged_at + OBSERVED_S,
+                )
+                for number, client in enumerate(clients)
+            )
+        )
+        await asyncio.gather(*restarts)
+        late = 0
+        for client in clients:
+            old = [
+                at - acknowledged_at
+                for request_id, at in client.sent.items()
+                if is_old(request_id, client.statuses[request_id])
+            ]
+            late += sum(s > BOUNDS["config_apply_s"] for s in old)
+            last = max(old, default=0.0)
+            record.tell(client.machine.name, f"old version until {last:.2f} s")
+        record.tell("requests handled too late by the old version:", late)
+        return not late
+
+
+def is_old(request_id, status):
+    """Return whether an answer is one that only the old version allows."""
+    is_added = int(request_id[4:], 16) % 2 == 1
+    return status == (404 if is_added else 200)
 
 
 run_case(__file__, scenario)
--- a/review/store.py
+++ b/review/store.py
@@ -20,6 +20,8 @@
         Objects by kind and name.
     events : list of (int, str, dict, bool)
         Revision, kind, object and whether it was deleted, of each change.
+    watching : dict of (str, str) to int
+        Pending watches by machine and kind.
     turned_away : set of str
         Machines whose calls get status 503; all others are served.
     """
@@ -28,6 +30,7 @@
         self.objects = {}
         self.events = []
         self.revision = 1
+        self.watching = {}
         self.turned_away = set()
         self.changed = asyncio.Event()
         self.servers = []
@@ -65,12 +68,23 @@
             found = self.objects.get((kind, name))
             return encode_json(200 if found else 404, found)
         if method == "GET" and "watch" in query:
-            return await self.watch(kind, query, machine)
+            watcher = (machine, kind)
+            self.watching[watcher] = self.watching.get(watcher, 0) + 1
+            try:
+                return await self.watch(kind, query, machine)
+            finally:
+                self.watching[watcher] -= 1
         if method == "GET":
             return encode_json(200, self.list(kind, query.get("after", "")))
         document = json.loads(message.body) if message.body else {}
         return self.write(method, kind, name, document, query)
 
+    def find_watching(self, kind):
+        """Return the machines that wait for changes of a kind."""
+        return {
+            name for (name, k), count in self.watching.items() if k == kind and count
+        }
+
     def list(self, kind, after):
         """Return one page of the objects of a kind."""
         names = sorted(name for k, name in self.objects if k == kind and name > after)
