--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """Case 3: restarted daemons of a zone each act as the owner of the zone's rate."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -108,4 +109,5 @@
         return count <= limit
 
 
-run_case(__file__, scenario)
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(Path(__file__).with_name("record.txt"), TROUBLE, scenario)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Case 4: a restarted daemon sends requests to an instance that has left."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -80,4 +81,5 @@
         return acknowledged and not late_runs
 
 
-run_case(__file__, scenario)
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(Path(__file__).with_name("record.txt"), TROUBLE, scenario)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """Case 5: a change is not in force in time where the hosts that watch the store end."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -99,4 +100,5 @@
     return status == (404 if is_added else 200)
 
 
-run_case(__file__, scenario)
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(Path(__file__).with_name("record.txt"), TROUBLE, scenario)
--- a/review/mesh.py
+++ b/review/mesh.py
@@ -327,19 +327,19 @@
     ]
 
 
-def run_case(path, scenario):
+def run_case(record_path, trouble, scenario):
     """Run a case and exit: 0 if the rule held, 1 if it broke, 2 if it could not run.
 
     Parameters
     ----------
-    path : str
-        The case's file; the record is written beside it.
+    record_path : Path
+        The file for the record.
+    trouble : bool
+        Whether there is a disruption.
     scenario : coroutine function
-        Takes the record and whether there is a disruption, and returns whether the
-        rule held.
+        Takes the record and ``trouble``, and returns whether the rule held.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(Path(path).parent / "record.txt")
+    record = Record(record_path)
     record.tell("disruption:", "yes" if trouble else "no")
 
     async def run():
