Keep the departure of an upstream over restarts of its daemon

Cause: the stop deleted the host's entry, the only record of the departure; SIGKILL keeps it, and the case held then. Related paths forgot it too: the first of two restarts published "absent" over "gone", an acknowledgement given while the store takes no writes was known to the process alone, a DELETE before the first heartbeat was kept in memory for 20 s, and an entry "ready" was not used to tell earlier upstreams.

A daemon restores the upstream of any entry. Other daemons keep the latest departure of each host and tell a process whose reports do not show it. The log says what was restored, and from whom.

--- a/egretlift/membership/tests/test_upstream.py
+++ b/egretlift/membership/tests/test_upstream.py
@@ -140,7 +140,7 @@
         ):
             with self.subTest(stored=stored, sequence=announcement.sequence):
                 state = UpstreamState()
-                restore_upstream(state, make_entry(stored))
+                restore_upstream(state, make_entry(stored), 0.0)
                 self.assertFalse(may_serve(state))
                 accept_announcement(state, announcement, "checkout", 0.0)
                 self.assertEqual(may_serve(state), expected)
@@ -149,10 +149,54 @@
                 accept_announcement(state, announcement, "checkout", 0.0)
                 self.assertTrue(may_serve(state))
                 self.assertEqual(
-                    restore_upstream(state, make_entry(stored)), not expected
+                    restore_upstream(state, make_entry(stored), 0.0), not expected
                 )
                 self.assertEqual(may_serve(state), expected)
 
+    def test_predecessors_after_a_restart(self):
+        """Guards against an earlier upstream that a restarted daemon takes for new."""
+        earlier = make_heartbeat(upstream_id="i-0", born=50, sequence=9)
+        for stored in ("ready", "absent", "draining", "gone"):
+            with self.subTest(stored):
+                state = UpstreamState()
+                restore_upstream(state, make_entry(stored), 0.0)
+                accept_announcement(state, earlier, "checkout", 1.0)
+                self.assertFalse(may_serve(state))
+                # The heartbeat may also arrive before the entry has been read.
+                state = UpstreamState()
+                accept_announcement(state, earlier, "checkout", 1.0)
+                self.assertTrue(restore_upstream(state, make_entry(stored), 2.0))
+                self.assertFalse(may_serve(state))
+
+    def test_departures_over_several_restarts(self):
+        """Guards against a departure that the second restart of a daemon forgets.
+
+        Each process publishes what it knows, and the next one restores it.
+        """
+        for name, stored, leaves in (
+            ("gone", make_entry("gone"), False),
+            ("left before a heartbeat", None, True),
+            ("left before its entry was read", make_entry("ready"), True),
+        ):
+            with self.subTest(name):
+                state = UpstreamState()
+                if leaves:
+                    record_departure(state, "i-1", 0.0)
+                restore_upstream(state, stored, 0.0)
+                for _ in range(2):
+                    current = state.current
+                    published = make_entry(
+                        state.status,
+                        current.upstream_id,
+                        current.born,
+                        current.sequence,
+                    )
+                    state = UpstreamState()
+                    restore_upstream(state, published, 1.0)
+                late = make_heartbeat(sequence=9)
+                accept_announcement(state, late, "checkout", 2.0)
+                self.assertFalse(may_serve(state))
+
     def test_leave_that_is_heard_first(self):
         """Guards against late heartbeats of an upstream that left before its first one.
 
--- a/egretlift/membership/upstream.py
+++ b/egretlift/membership/upstream.py
@@ -1,14 +1,18 @@
 """State of the upstream on the daemon's own host.
 
 The upstream gets work only after this process has received a heartbeat from it. If it
-started to drain before a restart of the daemon, the daemon learns this from the stored
-entry or from the next heartbeat, and sends it nothing until then.
+started to drain or left before a restart of the daemon, the daemon learns this from the
+stored entry, from other daemons or from the next heartbeat.
 """
 
 ABSENT = "absent"
 READY = "ready"
 DRAINING = "draining"
 GONE = "gone"
+# Statuses that an upstream keeps until it starts again, the final one last.
+DEPARTED_STATUSES = (DRAINING, GONE)
+# Start time of an upstream that left before any of its heartbeats arrived.
+BORN_UNKNOWN = 0
 # Number of departed upstreams whose identifiers are kept, so that late heartbeats do
 # not make them current again.
 DEPARTED_MAXIMUM = 64
@@ -50,8 +54,8 @@
     Attributes
     ----------
     current : Announcement or None
-        Latest accepted heartbeat, or one restored from the stored entry, which has an
-        empty address.
+        Latest accepted heartbeat, or one restored from an entry of an earlier process,
+        which has an empty address. Heartbeats of earlier upstreams are ignored.
     status : str
         ``absent``, ``ready``, ``draining`` or ``gone``.
     last_heartbeat_at : float
@@ -156,61 +160,97 @@
 
 
 def record_departure(state, upstream_id, now):
-    """Record that an upstream has left; return whether it was the current one."""
+    """Record that an upstream has left; return whether it was the current one.
+
+    If no upstream is known, it becomes the current one with an unknown start time, so
+    that the entry of this host tells a restarted daemon of it.
+    """
     current = state.current
     was_current = current is not None and current.upstream_id == upstream_id
     if was_current:
         state.left[upstream_id] = current.born
         state.status = GONE
     elif upstream_id not in state.left:
-        state.left_unheard_until[upstream_id] = now + LATE_HEARTBEATS_S
+        ignore_heartbeats(state, upstream_id, now)
+    if current is None:
+        state.current = Announcement(upstream_id, "", "", 0, GONE, BORN_UNKNOWN, 0)
+        state.status = GONE
     for departures in (state.left, state.left_unheard_until):
         while len(departures) > DEPARTED_MAXIMUM:
             del departures[next(iter(departures))]
     return was_current
 
 
-def restore_upstream(state, entry):
-    """Restore the state from this host's stored entry, written before a restart.
+def ignore_heartbeats(state, upstream_id, now):
+    """Treat all heartbeats of an upstream as late for `LATE_HEARTBEATS_S`."""
+    state.left_unheard_until[upstream_id] = now + LATE_HEARTBEATS_S
+
 
-    Only an entry in state ``draining`` or ``gone`` is used; an upstream that was
-    ready has to send a new heartbeat. Heartbeats older than the entry that arrived in
-    the meantime do not prevent this.
+def restore_upstream(state, entry, now):
+    """Restore the state from an entry of this host that an earlier process published.
+
+    An upstream that was draining or gone stays so. One that was ready has to send a new
+    heartbeat, but heartbeats of upstreams that started before it are ignored. Older
+    heartbeats that arrived in the meantime do not prevent this.
+
+    Parameters
+    ----------
+    state : UpstreamState
+    entry : HostEntry or None
+    now : float
+        Monotonic time in seconds.
 
     Returns
     -------
     bool
-        Whether the current upstream no longer gets work because of the entry.
+        Whether the entry changed the state.
     """
-    if entry is None or not entry.upstream_id or entry.state not in (DRAINING, GONE):
+    if entry is None or not entry.upstream_id:
         return False
-    current = state.current
-    is_same_upstream = current is not None and current.upstream_id == entry.upstream_id
-    if entry.state == GONE:
-        state.left[entry.upstream_id] = entry.born
-        if not is_same_upstream or current.born > entry.born:
-            return False
-        state.status = GONE
-        return True
-    is_later = current is not None and rank_announcement(current) > (
-        entry.born,
-        entry.sequence,
-    )
-    # An upstream that has started to drain gets work again only after its restart.
-    if is_later and not (is_same_upstream and current.born == entry.born):
+    if is_outdated(state.current, entry):
+        return False
+    status = entry.state if entry.state in DEPARTED_STATUSES else ABSENT
+    if entry.upstream_id in state.left_unheard_until:
+        status = GONE
+    is_known = name_start(state.current) == name_start(entry)
+    if is_known and rank_status(state.status) >= rank_status(status):
         return False
+    if status == GONE and entry.born == BORN_UNKNOWN:
+        ignore_heartbeats(state, entry.upstream_id, now)
+    elif status == GONE:
+        state.left[entry.upstream_id] = entry.born
+    sequence = max(entry.sequence, state.current.sequence if is_known else 0)
     state.current = Announcement(
-        entry.upstream_id,
-        entry.service,
-        "",
-        entry.slots,
-        DRAINING,
-        entry.born,
-        max(entry.sequence, current.sequence) if is_same_upstream else entry.sequence,
+        entry.upstream_id, entry.service, "", entry.slots, status, entry.born, sequence
     )
-    changed = current is not None and state.status != DRAINING
-    state.status = DRAINING
-    return changed
+    state.status = status
+    return True
+
+
+def is_outdated(current, entry):
+    """Return whether the current upstream started after the one in an entry.
+
+    Of two with the same start time, the later heartbeat decides.
+    """
+    if current is None or name_start(current) == name_start(entry):
+        return False
+    return rank_announcement(current) > rank_announcement(entry)
+
+
+def name_start(described):
+    """Return identifier and start time in a heartbeat or an entry, None for None."""
+    return described and (described.upstream_id, described.born)
+
+
+def rank_status(status):
+    """Return how final a status is: a greater number replaces a lower one.
+
+    Examples
+    --------
+    >>> rank_status(ABSENT) == rank_status(READY) < rank_status(DRAINING)
+    True
+    """
+    return 1 + DEPARTED_STATUSES.index(status) if status in DEPARTED_STATUSES else 0
 
 
 def refusal_reason(state):
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -107,6 +107,12 @@
         Position at which each host's entry was removed, the latest last.
     returned_entries : dict of str to int
         Revision of each entry that was removed and that a restored store has again.
+    departures : dict of str to HostEntry
+        Latest entry of each other host that tells that its upstream drains or has left;
+        see `egretlift.membership.departures`.
+    final_entries : dict of str to (int, float)
+        Revision of the last entry of each host of this zone that has stopped, and the
+        clock reading, in seconds, when it was learned.
     awaited_tokens : dict of str to Event
         For each organisation whose tokens are being requested: set when the request
         ends.
@@ -165,6 +171,7 @@
         "counter_stored",
         "counters",
         "datagrams",
+        "departures",
         "dialect",
         "directory",
         "follower_role",
@@ -183,6 +190,7 @@
         "entry_stored",
         "fetch_due",
         "fetch_sources",
+        "final_entries",
         "histograms",
         "rate_owners",
         "zone_quotas",
@@ -283,6 +291,8 @@
         self.watch_scopes = set()
         self.removals = {}
         self.returned_entries = {}
+        self.departures = {}
+        self.final_entries = {}
         self.entry_stored = anyio.Event()
         self.counter_stored = -1
         self.report_due = anyio.Event()
--- a/egretlift/sidecar/heartbeats.py
+++ b/egretlift/sidecar/heartbeats.py
@@ -39,7 +39,7 @@
     if request.method == "DELETE":
         left = record_departure(board.upstream, upstream_id, read_clock())
         board.log_change("upstream-left", upstream=upstream_id, current=left)
-        if left:
+        if board.upstream.status == GONE:
             await disable_upstream(board, GONE)
         return make_json_response({})
     if request.method != "PUT":
--- a/egretlift/sidecar/host_entries.py
+++ b/egretlift/sidecar/host_entries.py
@@ -4,7 +4,13 @@
 
 from egretlift.clock import read_clock
 from egretlift.errors import ObjectInvalid, PlatformUnavailable
-from egretlift.membership.peers import find_abandoned, find_departed
+from egretlift.membership.departures import find_forgotten, is_final, record_entry
+from egretlift.membership.peers import (
+    ENTRY_RETENTION_S,
+    encode_entry,
+    find_abandoned,
+    find_departed,
+)
 from egretlift.membership.positions import make_position, split_position
 from egretlift.platform.names import HOST_KIND
 from egretlift.recent import remember
@@ -33,6 +39,8 @@
 REMOVALS_MAXIMUM = 256
 # Interval at which a daemon looks for abandoned entries in the store.
 REMOVAL_INTERVAL_S = 60.0
+# Position of an entry that the store may not hold.
+UNSTORED_POSITION = 0
 
 
 def apply_host_entry(board, found):
@@ -51,11 +59,49 @@
         return False
     if found.name == board.settings.host:
         apply_own_entry(board, found, entry)
+        return True
+    record_entry(board.departures, entry)
+    if is_final(entry):
+        handle_final_entry(board, found, entry)
     elif board.register_host(entry, read_position(found)):
         board.log_change("host-learned", peer=entry.host, source="store")
     return True
 
 
+def handle_final_entry(board, found, entry):
+    """Handle the last entry of a host that has stopped like the removal of its entry.
+
+    It stays in the store for `ENTRY_RETENTION_S`, for the next process of the host.
+    """
+    handle_removed_entry(board, found.name, read_position(found))
+    known = board.final_entries.get(found.name)
+    is_new = known is None or known[0] != found.revision
+    if is_new and entry.zone == board.settings.zone:
+        value = (found.revision, read_clock())
+        remember(board.final_entries, found.name, value, REMOVALS_MAXIMUM)
+
+
+def remind_host(board, entry):
+    """Tell a host of the departure of its upstream if its own entry does not show it.
+
+    ``entry`` is the one in a report of the host, which may have forgotten the departure
+    in a restart.
+    """
+    departed = find_forgotten(board.departures, entry)
+    peer = board.peers.get(entry.host)
+    if departed is None or peer is None:
+        return
+    board.count("departures_told")
+    board.log_change(
+        "departure-told",
+        peer=entry.host,
+        upstream=departed.upstream_id,
+        state=departed.state,
+    )
+    item = [UNSTORED_POSITION, entry.host, encode_entry(departed)]
+    send_datagram(board, encode_datagram(HOSTS, [[item]]), peer)
+
+
 def handle_invalid_entry(board, found, error):
     """Log an invalid entry once; this host writes its own one again in its place."""
     is_new = record_invalid_entry(board, found, error)
@@ -132,12 +178,18 @@
 def list_outdated_entries(board):
     """Return (host, revision) of the entries to remove from the store.
 
-    These are entries of hosts without reports for a long time, and those that a
-    restored store has brought back.
+    These are entries of hosts without reports for a long time, last entries of hosts
+    that stopped as long ago, and those that a restored store has brought back.
     """
-    abandoned = find_abandoned(board.ensure_directory().near, read_clock())
+    now = read_clock()
+    abandoned = find_abandoned(board.ensure_directory().near, now)
     found = {p.entry.host: split_position(p.position)[1] for p in abandoned}
-    return [*found.items(), *board.returned_entries.items()]
+    final = [
+        (name, revision)
+        for name, (revision, learned_at) in board.final_entries.items()
+        if now - learned_at > ENTRY_RETENTION_S and name not in board.peers
+    ]
+    return [*found.items(), *final, *board.returned_entries.items()]
 
 
 async def forget_hosts(board):
@@ -155,6 +207,7 @@
                 board.log_change("entry-not-removed", peer=name, cause=str(error))
                 break
             board.returned_entries.pop(name, None)
+            board.final_entries.pop(name, None)
             event = "entry-removed" if removed else "entry-changed-meanwhile"
             board.log_change(event, peer=name, revision=revision)
 
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -12,13 +12,12 @@
 from egretlift.admission.upstream_limit import get_stated_rate
 from egretlift.clock import read_clock
 from egretlift.daemon.tasks import keep_running
-from egretlift.errors import PlatformUnavailable
 from egretlift.events import record_event, start_logging
 from egretlift.events.output import Output
 from egretlift.outcome import EXCHANGE_HEADER
 from egretlift.platform import requests as dialect
 from egretlift.platform.bootfile import read_settings_file
-from egretlift.platform.names import HOST_KIND, SETTINGS_FILE_VARIABLE
+from egretlift.platform.names import SETTINGS_FILE_VARIABLE
 from egretlift.platform.store import StoreClient
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.callers import handle_caller
@@ -28,7 +27,7 @@
 from egretlift.sidecar.heartbeats import handle_heartbeat, handle_readiness
 from egretlift.sidecar.host_entries import follow_hosts, forget_hosts
 from egretlift.sidecar.metrics import handle_metrics
-from egretlift.sidecar.own_entry import keep_entry
+from egretlift.sidecar.own_entry import keep_entry, write_last_entry
 from egretlift.sidecar.peers import handle_peer
 from egretlift.sidecar.rates import send_rates
 from egretlift.sidecar.reporting import send_reports
@@ -179,19 +178,6 @@
         await anyio.sleep(0.02)
 
 
-async def remove_entry(board):
-    """Remove this host's entry if its upstream has left for good."""
-    if board.upstream.status == "gone" and board.own_revision is not None:
-        try:
-            with anyio.move_on_after(CLOSE_RESERVE_S / 2):
-                await board.store.delete_object(
-                    HOST_KIND, board.settings.host, board.own_revision
-                )
-        except PlatformUnavailable as error:
-            # The entry stays in the store; hosts without reports are not called.
-            board.log_change("entry-not-removed", cause=str(error))
-
-
 async def run_daemon(settings, path):
     """Run the daemon until it is asked to stop.
 
@@ -223,7 +209,7 @@
             gc.freeze()
             await stop.wait()
             await drain(board, [server for server, _ in ports])
-            await remove_entry(board)
+            await write_last_entry(board)
             for _, listener in ports:
                 listener.close()
             tasks.cancel_scope.cancel()
--- a/egretlift/sidecar/own_entry.py
+++ b/egretlift/sidecar/own_entry.py
@@ -3,10 +3,11 @@
 import anyio
 
 from egretlift.admission.slots import refuse_waiting
+from egretlift.clock import read_clock
 from egretlift.errors import ConflictError, ObjectInvalid, PlatformUnavailable
 from egretlift.membership.peers import encode_entry
 from egretlift.membership.positions import make_position
-from egretlift.membership.upstream import restore_upstream
+from egretlift.membership.upstream import ABSENT, GONE, may_serve, restore_upstream
 from egretlift.platform.names import HOST_KIND
 from egretlift.sidecar.entries import decode_stored_entry, record_invalid_entry
 from egretlift.sidecar.eras import read_position
@@ -14,14 +15,31 @@
 
 # Heartbeat intervals to wait for the upstream before an entry without it is written.
 FIRST_HEARTBEATS = 3
+# Time of a stopping daemon for writing its last entry, and the pause between tries.
+LAST_WRITE_S = 0.3
+LAST_RETRY_S = 0.05
 
 
-def restore_state(board, entry):
-    """Restore the state of the upstream from an entry of an earlier process."""
-    if entry.boot != board.boot and restore_upstream(board.upstream, entry):
-        board.log_change("upstream-restored", state=entry.state)
-        refuse_waiting(board.slots, entry.state)
-        board.mark_entry_changed()
+def restore_state(board, entry, source):
+    """Restore the state of the upstream from an entry of an earlier process.
+
+    ``source`` is logged: who knew the entry.
+    """
+    upstream = board.upstream
+    if entry.boot == board.boot:
+        return
+    if not restore_upstream(upstream, entry, read_clock()):
+        return
+    board.log_change(
+        "upstream-restored",
+        upstream=entry.upstream_id,
+        born=entry.born,
+        state=upstream.status,
+        source=source,
+    )
+    if not may_serve(upstream):
+        refuse_waiting(board.slots, upstream.status)
+    board.mark_entry_changed()
 
 
 def apply_own_entry(board, found, entry):
@@ -30,7 +48,7 @@
     It is written again if this process wrote another one, or if a later one is known,
     which a restored store has lost.
     """
-    restore_state(board, entry)
+    restore_state(board, entry, "store")
     board.own_era, board.own_revision = found.era, found.revision
     board.own_entry = entry
     position = read_position(found)
@@ -48,11 +66,11 @@
     """
     position = read_position(found)
     if found.spec is None and board.stopping:
-        # A host that leaves removes its entry at the end.
+        # A host whose upstream has left writes its entry once more at its end.
         return
     if found.spec is not None:
         try:
-            restore_state(board, decode_stored_entry(found))
+            restore_state(board, decode_stored_entry(found), "daemon")
         except ObjectInvalid as error:
             record_invalid_entry(board, found, error)
             return
@@ -93,6 +111,16 @@
     return all(getattr(one, name) == getattr(other, name) for name in names)
 
 
+def must_replace(stored, entry):
+    """Return whether a stored entry, None for none, has to be written anew.
+
+    That is also the case if an earlier process marked the host as stopped in it.
+    """
+    if stored is None or not are_equivalent(stored, entry):
+        return True
+    return stored.stopping and not entry.stopping
+
+
 async def keep_entry(board):
     """Write this host's entry whenever it changes."""
     # After a restart the stored entry mostly stays valid: the upstream's heartbeats
@@ -100,7 +128,7 @@
     if not board.settings.is_first_start:
         await board.hosts_listed.wait()
     with anyio.move_on_after(FIRST_HEARTBEATS * board.settings.heartbeat_s):
-        while board.upstream.current is None:
+        while board.upstream.status == ABSENT:
             await board.entry_changed.wait()
             board.entry_changed = anyio.Event()
     stored = board.own_entry
@@ -109,7 +137,7 @@
         if board.entry_missing:
             board.entry_missing = False
             stored = None
-        if stored is None or not are_equivalent(stored, entry):
+        if must_replace(stored, entry):
             if not await write_entry(board, entry):
                 await anyio.sleep(BACKOFF_MAXIMUM_S * (0.5 + board.random.random()))
                 continue
@@ -143,6 +171,19 @@
     return True
 
 
+async def write_last_entry(board):
+    """Mark this host as stopped in the store if its upstream has left for good.
+
+    The entry stays in the store, since a daemon that is started again learns from it
+    that the upstream has left; see `egretlift.membership.departures`.
+    """
+    if board.upstream.status != GONE:
+        return
+    with anyio.move_on_after(LAST_WRITE_S):
+        while not await write_entry(board, board.make_entry()):
+            await anyio.sleep(LAST_RETRY_S)
+
+
 def is_era_outdated(board, era):
     """Return whether the store is in a later era than the one in a written entry.
 
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -5,6 +5,7 @@
 import anyio
 
 from egretlift.clock import read_clock
+from egretlift.membership.departures import record_entry
 from egretlift.membership.peers import (
     Report,
     decode_report,
@@ -23,7 +24,11 @@
     send_datagram,
 )
 from egretlift.sidecar.eras import adopt_era
-from egretlift.sidecar.host_entries import receive_entries, remove_departed_hosts
+from egretlift.sidecar.host_entries import (
+    receive_entries,
+    remind_host,
+    remove_departed_hosts,
+)
 from egretlift.sidecar.rates import receive_usage, refill_quotas
 from egretlift.sidecar.suspects import receive_suspects
 
@@ -54,6 +59,8 @@
         return
     if report.entry is not None:
         board.invalidate_directory(previous, report.entry)
+        record_entry(board.departures, report.entry)
+        remind_host(board, report.entry)
     if before is None:
         board.log_change("host-learned", peer=host, source="report")
         board.report_due.set()
--- a/egretlift/sidecar/tests/test_restored_store.py
+++ b/egretlift/sidecar/tests/test_restored_store.py
@@ -45,7 +45,7 @@
     """Write a host's entry that states an era, and return its revision."""
     number = zlib.crc32(name.encode()) % 2**16
     address = f"10.1.{number // 256}.{number % 256}"
-    entry = make_entry(name, zone="other", address=address, **changes)
+    entry = make_entry(name, **{"zone": "other", "address": address, **changes})
     store.put(HOST_KIND, name, {"entry": encode_entry(entry), "era": era})
     return store.revision
 
