Watch the store as a standby when no follower is heard

Cause: a host without news took its version for the latest. A follower counted as lost after 3.5 report intervals, and the next one waited for another second; in zones of more than 25 hosts reports get rarer still.

Change: a host that has heard no follower for 2.4 intervals of its reports watches the store as a standby, in the order of ranks and 10 ms apart, whoever else is lost. Standbys, and followers that are chosen no more, go on until the chosen hosts report that the store serves them. Followers report every 0.5 s in zones of up to 75 hosts. One that is turned away by the store says so and holds standbys back, so that an outage makes no more calls than before.

--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -32,8 +32,9 @@
 
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.6
-# Longest time that the store keeps a watch open without an event.
-WATCH_WAIT_S = 15.0
+# Longest time that the store keeps a watch open without an event. A host that follows
+# the store no more ends its watch after it.
+WATCH_WAIT_S = 10.0
 # The same for a watch that allows stale answers, which costs little. It shows soon that
 # the store was restored, where the other watch was kept open meanwhile.
 STALE_WATCH_WAIT_S = 1.0
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -39,6 +39,8 @@
 # Upper bound for the reports that a host receives from its zone in a second: with many
 # hosts in a zone each of them reports less often.
 REPORTS_PER_SECOND = 50
+# Upper bound for the reports that a host sends in a second while it follows the store.
+FOLLOWER_REPORTS_PER_SECOND = 150
 
 
 class Board:
@@ -79,7 +81,7 @@
     own_position : int
         Latest position of this host's entry, 0 for none.
     follower_role : FollowerRole
-        Since when this host has been chosen to follow the store for its zone.
+        Part of this host in following the store for its zone.
     store_ok : bool or None
         Whether the store serves this host; None if it was not called recently.
     store_era : int or None
@@ -507,3 +509,12 @@
         """Return the time between two reports of a host to its zone, in seconds."""
         hosts = len(self.ensure_directory().near)
         return max(self.settings.report_interval_s, hosts / REPORTS_PER_SECOND)
+
+    def follower_interval_s(self):
+        """Return the time between two reports of a host that follows the store.
+
+        The other hosts notice by the absence of these reports that they would not hear
+        of changes.
+        """
+        hosts = len(self.ensure_directory().near)
+        return max(self.settings.report_interval_s, hosts / FOLLOWER_REPORTS_PER_SECOND)
--- a/egretlift/sidecar/following.py
+++ b/egretlift/sidecar/following.py
@@ -8,7 +8,15 @@
 
 from egretlift.clock import read_clock
 from egretlift.errors import PlatformUnavailable
-from egretlift.membership.followers import choose_followers, update_role
+from egretlift.membership.followers import (
+    NEWS_TIMEOUT_INTERVALS,
+    choose_followers,
+    count_followers,
+    find_standby_time,
+    rank_candidates,
+    update_role,
+    update_standby,
+)
 from egretlift.membership.positions import split_position
 from egretlift.platform.store import HistoryGone
 from egretlift.sidecar.eras import log_listed, watch_until_restored
@@ -37,7 +45,22 @@
     is_restart = board.configuration is None and not board.settings.is_first_start
     if is_restart and host in choose_followers(zones, list_candidates(board)):
         return True
-    live = set(board.view.live)
+    ranked = rank_live_hosts(board)
+    chosen = ranked[: count_followers(zones)]
+    is_elected = update_role(board.follower_role, host in chosen, now)
+    are_served = are_chosen_served(board, chosen, now)
+    is_standby = follow_as_standby(board, ranked.index(host), are_served, now)
+    # A host that is chosen no more goes on until those that are have begun.
+    hands_over = board.store_ok is True and not are_served
+    follows = is_elected or is_standby or hands_over
+    if board.store_ok and not follows:
+        board.store_ok = None
+    return follows
+
+
+def rank_live_hosts(board):
+    """Return the live hosts of this zone in the order in which they are chosen."""
+    host, live = board.settings.host, set(board.view.live)
     flags = {
         peer.entry.host: peer.store_served
         for peer in board.ensure_directory().near
@@ -45,12 +68,59 @@
     }
     flags[host] = board.store_ok
     served = [name for name, flag in flags.items() if flag is not False]
-    unserved = [name for name, flag in flags.items() if flag is False]
-    chosen = choose_followers(zones, served, unserved)
-    follows = update_role(board.follower_role, host in chosen, now)
-    if board.store_ok and not follows:
-        board.store_ok = None
-    return follows
+    refused = [name for name, flag in flags.items() if flag is False]
+    return rank_candidates(served, refused)
+
+
+def are_chosen_served(board, chosen, now):
+    """Return whether each other chosen host has reported of late that it is served."""
+    heard_after = now - NEWS_TIMEOUT_INTERVALS * board.follower_interval_s()
+    return all(
+        name == board.settings.host
+        or is_served_since(board.peers.get(name), heard_after)
+        for name in chosen
+    )
+
+
+def follow_as_standby(board, rank, are_served, now):
+    """Return whether this host follows the store for followers that are silent.
+
+    A host that the store has turned away takes over from nobody. ``are_served`` is what
+    `are_chosen_served` returns.
+    """
+    role = board.follower_role
+    due_at = find_standby_time(role, rank, board.follower_interval_s())
+    was_standby = role.is_standby
+    must_end = are_served or board.store_ok is False
+    is_standby = update_standby(role, due_at, now, must_end)
+    if is_standby and not was_standby:
+        silent_s = round(now - role.news_at, 2)
+        board.count("standby_takeovers")
+        board.log_change("standby-follows", rank=rank, silent_s=silent_s)
+    return is_standby
+
+
+def is_served_since(peer, moment):
+    """Return whether a host has reported after a moment that the store serves it."""
+    return (
+        peer is not None
+        and peer.store_served is True
+        and peer.last_report_at is not None
+        and peer.last_report_at >= moment
+    )
+
+
+def find_check_pause_s(board):
+    """Return the time until this host checks again whether it has to follow the store.
+
+    A check is due at the moment at which it would take over as a standby.
+    """
+    pause_s = FOLLOWER_CHECK_INTERVAL_S * (0.5 + board.random.random())
+    ranked = rank_live_hosts(board)
+    rank = ranked.index(board.settings.host)
+    due_at = find_standby_time(board.follower_role, rank, board.follower_interval_s())
+    until_due_s = due_at - read_clock()
+    return min(pause_s, until_due_s) if until_due_s > 0 else pause_s
 
 
 def list_candidates(board):
@@ -81,7 +151,7 @@
     is_continued = True
     while not (is_follower(board) or may_read()):
         is_continued = False
-        await anyio.sleep(FOLLOWER_CHECK_INTERVAL_S * (0.5 + board.random.random()))
+        await anyio.sleep(find_check_pause_s(board))
     return is_continued
 
 
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -19,6 +19,7 @@
     "late_answers": "Answers of the upstream that followed answers to other requests",
     "lines_left_out": "Log lines left out because of their number, by kind",
     "quarantines": "Requests quarantined, as known on this host",
+    "standby_takeovers": "Times that this host followed the store for lost followers",
     "store_calls": "Calls to the store",
     "store_restores": "Times that the store came back from an older copy",
     "unframed_answers": "Whole answers that ended with their connection",
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -64,6 +64,8 @@
     if before is None:
         board.log_change("host-learned", peer=host, source="report")
         board.report_due.set()
+    if report.store_served is not None and report.version >= board.read_version():
+        board.follower_role.news_at = now
     if report.version > board.read_version():
         board.fetch_sources.add(host)
         board.fetch_due.set()
@@ -149,6 +151,13 @@
         send_datagram(board, data, peer)
 
 
+def choose_report_interval_s(board):
+    """Return the time until this host's next report, in seconds."""
+    if board.store_ok is None:
+        return board.report_interval_s()
+    return min(board.report_interval_s(), board.follower_interval_s())
+
+
 async def send_reports(board):
     """Receive datagrams, and send reports at intervals and after changes."""
     loop = asyncio.get_running_loop()
@@ -170,7 +179,8 @@
             send_report(board, number, is_due or to_remote, to_remote)
             last_sent = board.configuration
             await anyio.sleep(REPORT_GAP_S)
-            pause_s = board.report_interval_s() * (0.9 + 0.2 * board.random.random())
+            pause_s = choose_report_interval_s(board)
+            pause_s *= 0.9 + 0.2 * board.random.random()
             with anyio.move_on_after(pause_s - REPORT_GAP_S):
                 await board.report_due.wait()
             is_due = board.report_due.is_set()
