Grant no rate before the hosts of the zone are known

Cause: a started process took the hosts that it happened to know for all hosts of its zone, and a view of itself alone has a majority. The log of a run shows three of four daemons as owners with heard=1 silent=0, and none with a list until the store served them again. The share of a host that reaches no owner was worked out from the same view.

Change: a view is complete only after the hosts were read from the store or from a daemon that had read them. Without it a host owns no rate and has no share. A daemon without a list asks the daemons of all zones that it has heard. The log and two metrics tell whether a view is complete.

--- a/egretlift/membership/tests/test_zone.py
+++ b/egretlift/membership/tests/test_zone.py
@@ -116,6 +116,23 @@
         self.assertEqual({owners[key] for key in moved} - {"h0"}, set())
 
 
+class TestIncompleteView(unittest.TestCase):
+    """Views of a started process that has read no list of hosts."""
+
+    def test_owner(self):
+        """Guards against a host that takes those it knows for its whole zone."""
+        for name, is_complete, reporting, silent, owns in (
+            ("alone in its zone", True, 0, 0, True),
+            ("knows nobody", False, 0, 0, False),
+            ("hears some", False, 2, 0, False),
+            ("hears all", True, 2, 0, True),
+            ("hears few", True, 1, 3, False),
+        ):
+            with self.subTest(name):
+                view = ZoneView(0.0, ("me",), ("me",), reporting, silent, is_complete)
+                self.assertEqual(find_owner(view, "northlight") == "me", owns)
+
+
 class TestFollowers(unittest.TestCase):
     """Election of the hosts that watch the store."""
 
--- a/egretlift/membership/zone.py
+++ b/egretlift/membership/zone.py
@@ -30,9 +30,19 @@
         Number of hosts that may be alive although their reports do not arrive.
     host_count : int
         Number of all hosts that may be alive.
+    is_complete : bool
+        Whether this host has read which hosts the zone has. Until then a started
+        process knows only those whose reports it happened to receive.
     """
 
-    __slots__ = ("made_at", "host_count", "live", "ready", "silent_count")
+    __slots__ = (
+        "host_count",
+        "is_complete",
+        "live",
+        "made_at",
+        "ready",
+        "silent_count",
+    )
 
     def __init__(
         self,
@@ -41,12 +51,14 @@
         ready=(),
         reporting_count=0,
         silent_count=0,
+        is_complete=True,
     ):
         self.made_at = made_at
         self.live = live
         self.ready = ready
         self.silent_count = silent_count
         self.host_count = 1 + reporting_count + silent_count
+        self.is_complete = is_complete
 
 
 def observe_zone(near, own, now, interval_s, store_served):
@@ -93,7 +105,8 @@
 def has_quorum(view):
     """Return whether reports arrive from more than half of the zone's known hosts.
 
-    This host counts among them. Two sides of a partition cannot both have a quorum.
+    This host counts among them. Two sides of a partition cannot both have a quorum, and
+    a host that does not know the others has none.
 
     Examples
     --------
@@ -102,7 +115,8 @@
     >>> has_quorum(ZoneView(reporting_count=0, silent_count=1))
     False
     """
-    return 2 * (view.host_count - view.silent_count) > view.host_count
+    reporting_count = view.host_count - view.silent_count
+    return view.is_complete and 2 * reporting_count > view.host_count
 
 
 def is_current(view, now, interval_s):
--- a/egretlift/quotas/home.py
+++ b/egretlift/quotas/home.py
@@ -270,6 +270,10 @@
 def find_fallback_fraction(zone_sizes, view):
     """Return the fraction of a rate for a host that reaches no owner.
 
-    It is an equal share: one divided by the number of known hosts of all zones.
+    It is an equal share: one divided by the number of known hosts of all zones. A host
+    that does not know them gets nothing, since the shares of all must not exceed the
+    rate.
     """
+    if not view.is_complete:
+        return 0.0
     return 1 / (view.host_count + sum(zone_sizes.values()))
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -160,7 +160,8 @@
         Number of changes of this host's entry, and the one up to which the store has
         them.
     hosts_listed : Event
-        Set once the hosts were read from the store or from another daemon.
+        Set once all hosts were read from the store, or from another daemon that had
+        read them.
     """
 
     __slots__ = (
--- a/egretlift/sidecar/fetching.py
+++ b/egretlift/sidecar/fetching.py
@@ -6,7 +6,7 @@
 from egretlift.errors import ObjectInvalid
 from egretlift.sidecar.configurations import apply_configuration
 from egretlift.sidecar.documents import read_document
-from egretlift.sidecar.host_entries import receive_entries
+from egretlift.sidecar.host_entries import receive_entries, record_hosts_listed
 from egretlift.transport.exchange import ExchangeBroken, NotSent
 
 CONFIGURATION_PATH = "/egretlift/in-force"
@@ -71,7 +71,7 @@
 
 
 async def fetch_hosts(board):
-    """Fetch the known hosts of another daemon of this zone at intervals.
+    """Fetch the known hosts of another daemon at intervals.
 
     This makes up for forwarded entries that were lost, and replaces the store's list
     while the store is unavailable.
@@ -85,13 +85,29 @@
             await anyio.sleep(pause_s * (0.5 + board.random.random()))
             if read_clock() - started > HOSTS_FIRST_S:
                 pause_s = HOSTS_INTERVAL_S
-        hosts = [host for host in board.view.live if host in board.peers]
+        hosts = choose_host_sources(board)
         if hosts:
             await fetch_hosts_from(board, board.peers[board.random.choice(hosts)])
 
 
+def choose_host_sources(board):
+    """Return the hosts to ask for the known hosts, mostly those of this zone.
+
+    The other daemons of the zone may all have started again and know as little as this
+    one. A daemon without a list therefore asks those of other zones too.
+    """
+    hosts = [host for host in board.view.live if host in board.peers]
+    if board.hosts_listed.is_set():
+        return hosts
+    near = {peer.entry.host for peer in board.ensure_directory().near}
+    return hosts + [host for host in board.peers if host not in near]
+
+
 async def fetch_hosts_from(board, peer):
-    """Apply the host entries that another daemon knows."""
+    """Apply the host entries that another daemon knows.
+
+    They count as the list of all hosts only if that daemon has read one.
+    """
     document = await fetch_document(board, peer, HOSTS_PATH)
     if document is None:
         return
@@ -100,4 +116,5 @@
     except ObjectInvalid as error:
         board.log_change("hosts-invalid", peer=peer.entry.host, cause=str(error))
         return
-    board.hosts_listed.set()
+    if document.get("complete") is True:
+        record_hosts_listed(board, peer.entry.host)
--- a/egretlift/sidecar/host_entries.py
+++ b/egretlift/sidecar/host_entries.py
@@ -231,10 +231,22 @@
             record_store_status(board, False, str(error))
             with anyio.move_on_after(BACKOFF_MAXIMUM_S * (0.5 + board.random.random())):
                 await board.hosts_listed.wait()
-    board.hosts_listed.set()
+    record_hosts_listed(board, "store")
     await follow(board, HOST_KIND, apply_host_entries, lambda: False, allow_stale=True)
 
 
+def record_hosts_listed(board, source):
+    """Record that this daemon has read all hosts, and log it the first time.
+
+    ``source`` is "store" or the name of the host that sent its list.
+    """
+    if board.hosts_listed.is_set():
+        return
+    board.hosts_listed.set()
+    near = len(board.ensure_directory().near)
+    board.log_change("hosts-listed", source=source, zone_hosts=1 + near)
+
+
 async def read_hosts(board):
     """Read a possibly stale list of all hosts, and this host's current entry."""
     if not board.settings.is_first_start:
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -74,6 +74,8 @@
         "limit": load.limit,
         "queued": load.queued,
         "peers": len(board.peers),
+        "zone_hosts": board.view.host_count,
+        "zone_complete": int(board.view.is_complete),
         "open_requests": board.open_requests,
         "configuration_version": board.configuration.version
         if board.configuration
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -107,8 +107,13 @@
 
 
 def answer_hosts(board):
-    """Respond with position, name and entry of each known host, this one included."""
+    """Respond with position, name and entry of each known host, this one included.
+
+    Also states whether this daemon has read all hosts itself, so that a started one may
+    rely on the list.
+    """
     own = [board.own_position, board.settings.host, board.make_entry()]
     known = [[p.position, p.entry.host, p.entry] for p in board.peers.values()]
     hosts = [[pos, name, encode_entry(entry)] for pos, name, entry in [own, *known]]
-    return make_json_response({"hosts": hosts})
+    is_complete = board.hosts_listed.is_set()
+    return make_json_response({"hosts": hosts, "complete": is_complete})
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -118,6 +118,7 @@
         peer.store_served and is_reporting(peer, now, interval_s) for peer in near
     )
     view = observe_zone(near, own_view, now, interval_s, served)
+    view.is_complete = board.hosts_listed.is_set()
     if not view.ready:
         # A leaving host stays an owner while no other host of its zone is ready.
         view.ready = single.ready
--- a/egretlift/sidecar/tests/test_datagrams.py
+++ b/egretlift/sidecar/tests/test_datagrams.py
@@ -45,8 +45,9 @@
 
 
 def make_board():
-    """Return a board with a configuration and without other hosts."""
+    """Return a board with a configuration, whose host is known to be the only one."""
     board = Board(decode_settings(SETTINGS), dialect, None)
+    board.hosts_listed.set()
     board.configuration = decode_configuration(make_configuration(3, rate=50))
     board.datagrams = Recorder()
     update_zone_view(board)
--- a/egretlift/sidecar/tests/test_departures.py
+++ b/egretlift/sidecar/tests/test_departures.py
@@ -38,6 +38,7 @@
                 board, store, state=state, stopping=stopping, is_known=is_known
             ):
                 zone = board.settings.zone
+                board.hosts_listed.set()
                 write(store, "other", 1, zone=zone)
                 changes = {"state": state, "stopping": stopping}
                 for known_before in (True, False):
--- a/egretlift/sidecar/tokens.py
+++ b/egretlift/sidecar/tokens.py
@@ -100,6 +100,7 @@
         home=board.find_owner(organisation.name) or "-",
         heard=board.view.host_count - board.view.silent_count,
         silent=board.view.silent_count,
+        complete=board.view.is_complete,
     )
 
 
