--- a/integration/test_departures.py
+++ b/integration/test_departures.py
@@ -112,6 +112,15 @@
     upstream.upstream_id, upstream.born = former
 
 
+async def leave_behind_another(mesh, sidecar):
+    """Let an unheard successor of the known upstream leave, and kill the daemon."""
+    upstream = sidecar.upstream
+    upstream.state = "gone"
+    upstream.upstream_id, upstream.born = "i-next", upstream.born + 1
+    await leave(mesh, sidecar)
+    await end(sidecar, signal.SIGKILL)
+
+
 class TestDepartures(unittest.TestCase):
     """Whether an upstream that has left gets requests from a restarted daemon."""
 
@@ -133,6 +142,10 @@
             with self.subTest(depart.__name__):
                 self.assertEqual(asyncio.run(self.count_late(depart)), 0)
 
+    def test_late_heartbeat_of_an_unheard_successor(self):
+        """Guards against a departure that is kept in memory for some seconds only."""
+        self.assertEqual(asyncio.run(self.count_late(leave_behind_another)), 0)
+
     async def count_late(self, depart):
         """Return the number of requests that reach an upstream after its departure."""
         async with SidecarMesh(HOST_COUNT) as mesh:
