Send the last heartbeat late in tests of departures, in place of an early one

The late heartbeat of these tests had sequence 1, which a restarted daemon refuses by its order alone if it has read an entry with a later one.

--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -392,10 +392,11 @@
     async def count_requests_after_late_heartbeat(self, sidecar, count=10):
         """Return how many requests an upstream gets that has left.
 
-        A heartbeat that it sent before arrives late, and ``count`` requests follow.
+        The last heartbeat that it sent before arrives late, and ``count`` requests
+        follow.
         """
         upstream = sidecar.upstream
-        upstream.state, upstream.beats = "ready", 0
+        upstream.state, upstream.beats = "ready", max(0, upstream.beats - 1)
         await self.beat(sidecar)
         before = len(upstream.requests)
         for _ in range(count):
