Keep departures in other zones while the store is away

Cause: nobody who knew was left.

Change: while the store does not have a host's entry, two hosts of each other zone get its reports, after a change and in every fourth interval. They are chosen by rendezvous hashing, so that the next process reports to the same ones and is told. An entry in a conflict is restored from before it is replaced.

--- a/egretlift/membership/departures.py
+++ b/egretlift/membership/departures.py
@@ -4,8 +4,14 @@
 in the store tells the next process, unless the store was away when the upstream left.
 The daemons that received the report of the departure therefore keep it, and send it to
 the next process of that host if its own reports do not show it.
+
+All daemons of a zone may end at once. While the store does not have a host's entry,
+some hosts of other zones, its keepers, therefore get its reports too.
 """
 
+from heapq import nlargest
+
+from egretlift.membership.directory import weigh
 from egretlift.membership.upstream import (
     DEPARTED_STATUSES,
     GONE,
@@ -17,6 +23,8 @@
 
 # Hosts of which the latest departure is kept.
 DEPARTURES_MAXIMUM = 1024
+# Keepers of a host in each other zone.
+KEEPERS_PER_ZONE = 2
 
 
 def is_final(entry):
@@ -71,3 +79,32 @@
     if is_same and rank_status(entry.state) < rank_status(departed.state):
         return departed
     return None
+
+
+def choose_keepers(host, zones):
+    """Return the hosts of other zones that keep the departures of a host.
+
+    They are the best-ranked ones by rendezvous hashing, so that the next process of the
+    host asks those that the process before has told.
+
+    Parameters
+    ----------
+    host : str
+    zones : dict of str to list of Peer
+        Hosts of each other zone.
+
+    Examples
+    --------
+    >>> from types import SimpleNamespace as Namespace
+    >>> peers = [Namespace(entry=Namespace(host=name)) for name in "abcd"]
+    >>> keepers = choose_keepers("h", {"east": peers})
+    >>> len(keepers), keepers == choose_keepers("h", {"east": peers[::-1]})
+    (2, True)
+    """
+    return [
+        keeper
+        for peers in zones.values()
+        for keeper in nlargest(
+            KEEPERS_PER_ZONE, peers, key=lambda peer: weigh(host, peer.entry.host)
+        )
+    ]
--- a/egretlift/membership/tests/test_departures.py
+++ b/egretlift/membership/tests/test_departures.py
@@ -4,10 +4,13 @@
 
 from egretlift.membership.departures import (
     DEPARTURES_MAXIMUM,
+    KEEPERS_PER_ZONE,
+    choose_keepers,
     find_forgotten,
     is_final,
     record_entry,
 )
+from egretlift.membership.peers import Peer
 from egretlift.membership.tests.test_peers import make_entry
 
 
@@ -86,5 +89,34 @@
                 self.assertEqual(is_final(entry), expected)
 
 
+class TestKeepers(unittest.TestCase):
+    """Hosts of other zones that keep the departures of a host."""
+
+    def test_choice(self):
+        """Guards against a next process that asks others than the one before told."""
+        for name, sizes, count in (
+            ("one zone", (), 0),
+            ("small zones", (1, 4), 1 + KEEPERS_PER_ZONE),
+            ("large zones", (65, 65, 65, 65), 4 * KEEPERS_PER_ZONE),
+        ):
+            with self.subTest(name):
+                zones = {
+                    f"z{zone}": [
+                        Peer(make_entry(f"z{zone}-{number}"), 0.0)
+                        for number in range(size)
+                    ]
+                    for zone, size in enumerate(sizes)
+                }
+                keepers = choose_keepers("h", zones)
+                self.assertEqual(len(keepers), count)
+                turned = {zone: peers[::-1] for zone, peers in zones.items()}
+                self.assertEqual(choose_keepers("h", turned), keepers)
+                # Hosts that have joined meanwhile replace few of them.
+                for zone, peers in zones.items():
+                    peers.append(Peer(make_entry(f"{zone}-joined"), 0.0))
+                kept = set(keepers) & set(choose_keepers("h", zones))
+                self.assertGreaterEqual(len(kept), count - len(zones))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/egretlift/sidecar/own_entry.py
+++ b/egretlift/sidecar/own_entry.py
@@ -68,12 +68,8 @@
     if found.spec is None and board.stopping:
         # A host whose upstream has left writes its entry once more at its end.
         return
-    if found.spec is not None:
-        try:
-            restore_state(board, decode_stored_entry(found), "daemon")
-        except ObjectInvalid as error:
-            record_invalid_entry(board, found, error)
-            return
+    if found.spec is not None and not restore_from_object(board, found, "daemon"):
+        return
     if position > board.own_position:
         board.own_position = position
         if found.spec is None:
@@ -81,6 +77,16 @@
         request_writing(board, "forwarded")
 
 
+def restore_from_object(board, found, source):
+    """Restore the state from an object of this host; return whether it is valid."""
+    try:
+        restore_state(board, decode_stored_entry(found), source)
+    except ObjectInvalid as error:
+        record_invalid_entry(board, found, error)
+        return False
+    return True
+
+
 def request_writing(board, cause):
     """Have this host's entry written again."""
     board.entry_missing = True
@@ -159,6 +165,9 @@
     except ConflictError as error:
         record_own_object(board, error.current)
         board.log_change("entry-conflict", revision=board.own_revision)
+        if error.current is not None:
+            # It may tell of a departure, and is replaced next.
+            restore_from_object(board, error.current, "store")
         return False
     except PlatformUnavailable as error:
         board.log_change("entry-not-stored", cause=str(error))
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -5,7 +5,7 @@
 import anyio
 
 from egretlift.clock import read_clock
-from egretlift.membership.departures import record_entry
+from egretlift.membership.departures import choose_keepers, record_entry
 from egretlift.membership.peers import (
     Report,
     decode_report,
@@ -137,18 +137,33 @@
     return [board.random.choice(peers) for peers in zones]
 
 
-def send_report(board, number, is_full, to_remote):
-    """Send a report to the hosts of the zone and, if ``to_remote``, to other zones.
+def choose_receivers(board, is_due, to_remote):
+    """Return the hosts that get a report: those of the zone, and some of other zones.
 
-    One host of each other zone gets it. Reports to other zones must be full: a host
-    there gets them too seldom to have the entry that a short report refers to.
+    A random host of each other zone gets it if ``to_remote``. The keepers of this
+    host's departures get it after a change (``is_due``) and repeatedly while the store
+    does not have this host's entry.
     """
+    directory = board.ensure_directory()
+    receivers = list(directory.near)
+    if to_remote:
+        receivers += choose_remote_hosts(board)
+    if board.counter_stored < board.counter and (is_due or to_remote):
+        keepers = choose_keepers(board.settings.host, directory.zones)
+        receivers += [keeper for keeper in keepers if keeper not in receivers]
+    return receivers
+
+
+def send_report(board, number, is_due, to_remote):
+    """Send a report to the hosts of the zone and to some of other zones.
+
+    It is full if anything has changed (``is_due``). Reports to other zones must be: a
+    host there gets them too seldom to have the entry that a short report refers to.
+    """
+    is_full = is_due or to_remote
     report = make_report(board, number)
     data = encode_datagram(REPORT, encode_report(report, is_short=not is_full))
-    for peer in [
-        *board.ensure_directory().near,
-        *(choose_remote_hosts(board) if to_remote else ()),
-    ]:
+    for peer in choose_receivers(board, is_due, to_remote):
         send_datagram(board, data, peer)
 
 
@@ -177,7 +192,7 @@
             is_periodic = number % FULL_REPORT_EVERY == 0
             is_changed = board.configuration is not last_sent
             to_remote = is_periodic or is_changed
-            send_report(board, number, is_due or to_remote, to_remote)
+            send_report(board, number, is_due, to_remote)
             last_sent = board.configuration
             await anyio.sleep(REPORT_GAP_S)
             pause_s = choose_report_interval_s(board)
--- a/egretlift/sidecar/tests/test_departures.py
+++ b/egretlift/sidecar/tests/test_departures.py
@@ -4,13 +4,14 @@
 from unittest.mock import patch
 
 from egretlift.clock import read_clock
+from egretlift.membership.departures import choose_keepers
 from egretlift.membership.peers import ENTRY_RETENTION_S
 from egretlift.membership.zone import has_quorum
 from egretlift.platform.names import HOST_KIND
 from egretlift.sidecar import host_entries
 from egretlift.sidecar.host_entries import apply_newer_entries, list_outdated_entries
-from egretlift.sidecar.own_entry import write_last_entry
-from egretlift.sidecar.reporting import build_zone_view
+from egretlift.sidecar.own_entry import write_entry, write_last_entry
+from egretlift.sidecar.reporting import build_zone_view, choose_receivers
 from egretlift.sidecar.tests.test_restored_store import (
     HOST,
     heartbeat,
@@ -79,5 +80,65 @@
                 run_with_board(use_board)
 
 
+class TestWithoutStore(unittest.TestCase):
+    """Departures, and processes that start, while the store is away."""
+
+    def test_conflict(self):
+        """Guards against a started process that overwrites a departure unread.
+
+        It started while the store was away, and has the list of another daemon.
+        """
+        for state, expected in (("gone", "gone"), ("draining", "draining")):
+
+            async def use_board(board, store, state=state, expected=expected):
+                changes = {"upstream_id": "i-1", "born": 100, "boot": "before"}
+                write(store, HOST, 1, state=state, **changes)
+                self.assertFalse(await write_entry(board, board.make_entry()))
+                self.assertEqual(board.upstream.status, expected)
+                self.assertTrue(await write_entry(board, board.make_entry()))
+                heartbeat(board, sequence=9)
+                self.assertEqual(board.upstream.status, expected)
+
+            with self.subTest(state):
+                run_with_board(use_board)
+
+    def test_receivers(self):
+        """Guards against a departure that is known in this zone only.
+
+        All daemons of the zone may end before the store is back.
+        """
+        for name, stored, is_due, to_remote, reaches_keepers in (
+            ("changed", False, True, False, True),
+            ("not stored so far", False, False, True, True),
+            ("between full reports", False, False, False, False),
+            ("stored", True, True, False, False),
+        ):
+
+            async def use_board(
+                board,
+                store,
+                stored=stored,
+                is_due=is_due,
+                to_remote=to_remote,
+                reaches_keepers=reaches_keepers,
+            ):
+                write(store, "near", 1, zone=board.settings.zone)
+                for zone in ("b", "c"):
+                    for number in range(4):
+                        write(store, f"{zone}-{number}", 1, zone=zone)
+                _, objects = await board.store.list_objects(HOST_KIND)
+                apply_newer_entries(board, objects)
+                if stored:
+                    board.counter_stored = board.counter
+                keepers = choose_keepers(HOST, board.ensure_directory().zones)
+                self.assertEqual(len(keepers), 4)
+                receivers = choose_receivers(board, is_due, to_remote)
+                self.assertIn(board.peers["near"], receivers)
+                self.assertEqual(set(keepers) <= set(receivers), reaches_keepers)
+
+            with self.subTest(name):
+                run_with_board(use_board)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/integration/test_departures.py
+++ b/integration/test_departures.py
@@ -112,6 +112,19 @@
     upstream.upstream_id, upstream.born = former
 
 
+async def leave_as_zone_restarts(mesh, sidecar):
+    """Let the upstream leave while the store is away, and kill its zone's daemons."""
+    zone = mesh.sidecars[0::2]
+    mesh.store.fault = "down"
+    await leave(mesh, sidecar)
+    await asyncio.gather(*(end(other, signal.SIGKILL) for other in zone))
+    for other in zone:
+        await start(mesh, other)
+    mesh.store.fault = ""
+    await asyncio.sleep(REPORTS_S)
+    await end(sidecar, signal.SIGKILL)
+
+
 async def leave_behind_another(mesh, sidecar):
     """Let an unheard successor of the known upstream leave, and kill the daemon."""
     upstream = sidecar.upstream
@@ -137,6 +150,7 @@
             drain_without_store,
             leave_unheard,
             leave_unknown,
+            leave_as_zone_restarts,
             replace,
         ):
             with self.subTest(depart.__name__):
