--- a/integration/test_restored_store.py
+++ b/integration/test_restored_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from standins.sidecars import SidecarMesh, make_configuration, wait_for
+from standins.sidecars import make_configuration, run_mesh, wait_for
 
 # A change of the configuration is in force within this time on all hosts, in seconds.
 APPLY_S = 2.0
@@ -12,16 +12,6 @@
 HOST_KIND = "egretlift-hosts"
 
 
-def run_mesh(scenario, count=2):
-    """Start a mesh of ``count`` sidecars and run a coroutine function with it."""
-
-    async def run():
-        async with SidecarMesh(count) as mesh:
-            await scenario(mesh)
-
-    asyncio.run(run())
-
-
 def add_revisions(store, count):
     """Raise the revision of the store by writes that concern no daemon."""
     for number in range(count):
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -430,6 +430,16 @@
         ]
 
 
+def run_mesh(scenario, count=2):
+    """Start a mesh of ``count`` daemons and run a coroutine function with it."""
+
+    async def run():
+        async with SidecarMesh(count) as mesh:
+            await scenario(mesh)
+
+    asyncio.run(run())
+
+
 async def wait_for(condition, timeout_s=START_TIMEOUT_S):
     """Poll a coroutine function until it returns a true value.
 
