--- a/egretlift/membership/departures.py
+++ b/egretlift/membership/departures.py
@@ -6,7 +6,7 @@
 the next process of that host if its own reports do not show it.
 
 All daemons of a zone may end at once. While the store does not have a host's entry,
-some hosts of other zones, its keepers, therefore get its reports too.
+some hosts of other zones, its replicas, therefore get its reports too.
 """
 
 from heapq import nlargest
@@ -23,8 +23,8 @@
 
 # Hosts of which the latest departure is kept.
 DEPARTURES_MAXIMUM = 1024
-# Keepers of a host in each other zone.
-KEEPERS_PER_ZONE = 2
+# Hosts of each other zone that keep the departures of a host.
+REPLICAS_PER_ZONE = 2
 
 
 def is_final(entry):
@@ -81,7 +81,7 @@
     return None
 
 
-def choose_keepers(host, zones):
+def choose_replicas(host, zones):
     """Return the hosts of other zones that keep the departures of a host.
 
     They are the best-ranked ones by rendezvous hashing, so that the next process of the
@@ -97,14 +97,14 @@
     --------
     >>> from types import SimpleNamespace as Namespace
     >>> peers = [Namespace(entry=Namespace(host=name)) for name in "abcd"]
-    >>> keepers = choose_keepers("h", {"east": peers})
-    >>> len(keepers), keepers == choose_keepers("h", {"east": peers[::-1]})
+    >>> replicas = choose_replicas("h", {"east": peers})
+    >>> len(replicas), replicas == choose_replicas("h", {"east": peers[::-1]})
     (2, True)
     """
     return [
-        keeper
+        replica
         for peers in zones.values()
-        for keeper in nlargest(
-            KEEPERS_PER_ZONE, peers, key=lambda peer: weigh(host, peer.entry.host)
+        for replica in nlargest(
+            REPLICAS_PER_ZONE, peers, key=lambda peer: weigh(host, peer.entry.host)
         )
     ]
--- a/egretlift/membership/tests/test_departures.py
+++ b/egretlift/membership/tests/test_departures.py
@@ -4,8 +4,8 @@
 
 from egretlift.membership.departures import (
     DEPARTURES_MAXIMUM,
-    KEEPERS_PER_ZONE,
-    choose_keepers,
+    REPLICAS_PER_ZONE,
+    choose_replicas,
     find_forgotten,
     is_final,
     record_entry,
@@ -89,15 +89,15 @@
                 self.assertEqual(is_final(entry), expected)
 
 
-class TestKeepers(unittest.TestCase):
+class TestReplicas(unittest.TestCase):
     """Hosts of other zones that keep the departures of a host."""
 
     def test_choice(self):
         """Guards against a next process that asks others than the one before told."""
         for name, sizes, count in (
             ("one zone", (), 0),
-            ("small zones", (1, 4), 1 + KEEPERS_PER_ZONE),
-            ("large zones", (65, 65, 65, 65), 4 * KEEPERS_PER_ZONE),
+            ("small zones", (1, 4), 1 + REPLICAS_PER_ZONE),
+            ("large zones", (65, 65, 65, 65), 4 * REPLICAS_PER_ZONE),
         ):
             with self.subTest(name):
                 zones = {
@@ -107,14 +107,14 @@
                     ]
                     for zone, size in enumerate(sizes)
                 }
-                keepers = choose_keepers("h", zones)
-                self.assertEqual(len(keepers), count)
+                replicas = choose_replicas("h", zones)
+                self.assertEqual(len(replicas), count)
                 turned = {zone: peers[::-1] for zone, peers in zones.items()}
-                self.assertEqual(choose_keepers("h", turned), keepers)
+                self.assertEqual(choose_replicas("h", turned), replicas)
                 # Hosts that have joined meanwhile replace few of them.
                 for zone, peers in zones.items():
                     peers.append(Peer(make_entry(f"{zone}-joined"), 0.0))
-                kept = set(keepers) & set(choose_keepers("h", zones))
+                kept = set(replicas) & set(choose_replicas("h", zones))
                 self.assertGreaterEqual(len(kept), count - len(zones))
 
 
--- a/egretlift/sidecar/host_entries.py
+++ b/egretlift/sidecar/host_entries.py
@@ -243,7 +243,7 @@
     if board.hosts_listed.is_set():
         return
     board.hosts_listed.set()
-    # The keepers of this host's departures are known now and can tell it of one.
+    # The replicas of this host are known now and can tell it of a departure.
     board.report_due.set()
     near = len(board.ensure_directory().near)
     board.log_change("hosts-listed", source=source, zone_hosts=1 + near)
--- a/egretlift/sidecar/reporting.py
+++ b/egretlift/sidecar/reporting.py
@@ -5,7 +5,7 @@
 import anyio
 
 from egretlift.clock import read_clock
-from egretlift.membership.departures import choose_keepers, record_entry
+from egretlift.membership.departures import choose_replicas, record_entry
 from egretlift.membership.peers import (
     Report,
     decode_report,
@@ -140,25 +140,25 @@
 def choose_receivers(board, is_due, to_remote):
     """Return the hosts that get a report: those of the zone, and some of other zones.
 
-    A random host of each other zone gets it if ``to_remote``. The keepers of this
-    host's departures get it after a change (``is_due``) and repeatedly while the store
-    does not have this host's entry.
+    A random host of each other zone gets it if ``to_remote``. While the store does not
+    have this host's entry, its replicas get it too: after a change (``is_due``) and
+    whenever a random host does.
     """
     directory = board.ensure_directory()
     receivers = list(directory.near)
     if to_remote:
         receivers += choose_remote_hosts(board)
     if board.counter_stored < board.counter and (is_due or to_remote):
-        keepers = choose_keepers(board.settings.host, directory.zones)
-        receivers += [keeper for keeper in keepers if keeper not in receivers]
+        replicas = choose_replicas(board.settings.host, directory.zones)
+        receivers += [peer for peer in replicas if peer not in receivers]
     return receivers
 
 
 def send_report(board, number, is_due, to_remote):
     """Send a report to the hosts of the zone and to some of other zones.
 
-    It is full if anything has changed (``is_due``). Reports to other zones must be: a
-    host there gets them too seldom to have the entry that a short report refers to.
+    It is full after a change (``is_due``) and if it goes to other zones: a host there
+    gets reports too seldom to have the entry that a short one refers to.
     """
     is_full = is_due or to_remote
     report = make_report(board, number)
--- a/egretlift/sidecar/tests/test_departures.py
+++ b/egretlift/sidecar/tests/test_departures.py
@@ -4,7 +4,7 @@
 from unittest.mock import patch
 
 from egretlift.clock import read_clock
-from egretlift.membership.departures import choose_keepers
+from egretlift.membership.departures import choose_replicas
 from egretlift.membership.peers import ENTRY_RETENTION_S
 from egretlift.membership.zone import has_quorum
 from egretlift.platform.names import HOST_KIND
@@ -107,7 +107,7 @@
 
         All daemons of the zone may end before the store is back.
         """
-        for name, stored, is_due, to_remote, reaches_keepers in (
+        for name, stored, is_due, to_remote, reaches_replicas in (
             ("changed", False, True, False, True),
             ("not stored so far", False, False, True, True),
             ("between full reports", False, False, False, False),
@@ -120,7 +120,7 @@
                 stored=stored,
                 is_due=is_due,
                 to_remote=to_remote,
-                reaches_keepers=reaches_keepers,
+                reaches_replicas=reaches_replicas,
             ):
                 write(store, "near", 1, zone=board.settings.zone)
                 for zone in ("b", "c"):
@@ -130,11 +130,11 @@
                 apply_newer_entries(board, objects)
                 if stored:
                     board.counter_stored = board.counter
-                keepers = choose_keepers(HOST, board.ensure_directory().zones)
-                self.assertEqual(len(keepers), 4)
+                replicas = choose_replicas(HOST, board.ensure_directory().zones)
+                self.assertEqual(len(replicas), 4)
                 receivers = choose_receivers(board, is_due, to_remote)
                 self.assertIn(board.peers["near"], receivers)
-                self.assertEqual(set(keepers) <= set(receivers), reaches_keepers)
+                self.assertEqual(set(replicas) <= set(receivers), reaches_replicas)
 
             with self.subTest(name):
                 run_with_board(use_board)
