--- /dev/null
+++ b/review/common_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases of this review share."""
