--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,84 +1,95 @@
-"""Photographs that the clients of one machine upload at the same time."""
+"""Lookups that wait in a daemon's queue behind bookings while many users come."""
 
 import asyncio
+import itertools
 from pathlib import Path
 
-from review.common_2.client import send, send_in_turn
-from review.common_2.memory import limit_memory
+from review.common_2.client import send
 from review.common_2.mesh import Mesh, make_configuration, make_route, run_case
 
 KEY = "key-of-northlight"
-MAX_BODY_BYTES = 67_108_864
-UPLOAD_BYTES = 12_000_000
-# The machine has eight clients, and 1.8 times as many in the burst.
-USUAL_UPLOADS, BURST_UPLOADS = 8, 14
-LOOKUP_CLIENTS = 8
-WORK_S = 0.4
-DEADLINE_MS = 6000
-# Half of what the link of a machine carries, which is 1,000 Mbit/s, so that no packet
-# waits.
-SENT_BYTES_PER_S = 62_500_000
-LOST_MAXIMUM = 3
+SLOTS = 17
+WORK_S = 0.2
+# Requests a second of each host's clients. An instance runs 85 a second.
+BOOKINGS_PER_S = 52
+LOOKUPS_PER_S = 24
+BURST_FACTOR = 1.8
+BURST_AT_S, BURST_S = 3.0, 12.0
+END_S = 20.0
+DEADLINE_MS = 5000
+LOOKUP_TIMEOUT_S = 2.5
+# The rule: no final answer so long after the timeout of the route, of eight requests
+# or more and of over a quarter of those that last longer than the timeout.
+TOLERANCE_S = 0.5
+COUNT_MINIMUM = 8
+SHARE_MAXIMUM = 0.25
+
+
+async def send_at_rate(sending, per_s, has_burst, send_one):
+    """Send requests at a steady rate, which rises during the burst."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    due = started
+    while due < started + END_S:
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        sending.append(asyncio.create_task(send_one()))
+        since_s = due - started
+        in_burst = has_burst and BURST_AT_S <= since_s < BURST_AT_S + BURST_S
+        due += 1 / (per_s * (BURST_FACTOR if in_burst else 1.0))
 
 
 async def scenario(record, has_trouble):
-    """Upload photographs beside lookups on kept connections."""
-    layout = [("a", "yard-photos", 108), ("b", "yard-photos", 108)]
+    """Let clients send bookings and lookups, with 1.8 times as many for a while."""
+    layout = [("a", "scheduler", SLOTS), ("b", "scheduler", SLOTS)]
     routes = [
-        make_route("photos", "/photo/", "yard-photos", timeout_s=6),
-        make_route("lookups", "/", "yard-photos", timeout_s=6),
+        make_route("books", "/book/", "scheduler", "non_idempotent", 5, priority=0),
+        make_route("views", "/view/", "scheduler", timeout_s=LOOKUP_TIMEOUT_S),
     ]
     tenants = [["northlight", [KEY], 1, 0, 0]]
-    configuration = make_configuration(3, routes, tenants)
-    configuration["limits"]["max_body_bytes"] = MAX_BODY_BYTES
-    stop = asyncio.Event()
-    async with Mesh(record, layout, configuration) as mesh:
-        first = mesh.hosts[0]
+    numbers = itertools.count()
+    sending = []
+    async with Mesh(record, layout, make_configuration(3, routes, tenants)) as mesh:
         for host in mesh.hosts:
             host.instance.work_s = lambda path: WORK_S
-        check = asyncio.create_task(limit_memory(first))
-        lookups = [
-            asyncio.create_task(
-                send_in_turn(record, first, f"lookup{number}", KEY, stop)
-            )
-            for number in range(LOOKUP_CLIENTS)
-        ]
-        await asyncio.sleep(2.0)
-        body = bytes(UPLOAD_BYTES)
-        count = BURST_UPLOADS if has_trouble else USUAL_UPLOADS
-        uploads = await asyncio.gather(
+
+        def make_sender(host, prefix, method):
+            async def send_one():
+                number = next(numbers)
+                path = f"/{prefix}/{number}"
+                name = f"{prefix}-{number}"
+                return await send(record, host, name, path, KEY, DEADLINE_MS, method)
+
+            return send_one
+
+        await asyncio.gather(
             *(
-                send(
-                    record,
-                    first,
-                    f"photo-{number}",
-                    f"/photo/{number}",
-                    KEY,
-                    DEADLINE_MS,
-                    "POST",
-                    body,
-                    send_bytes_per_s=SENT_BYTES_PER_S / count,
+                send_at_rate(sending, per_s, has_trouble, make_sender(host, *kind))
+                for host in mesh.hosts
+                for kind, per_s in (
+                    (("book", "POST"), BOOKINGS_PER_S),
+                    (("view", "GET"), LOOKUPS_PER_S),
                 )
-                for number in range(count)
             )
         )
-        await asyncio.sleep(1.0)
-        stop.set()
-        looked_up = [a for attempts in await asyncio.gather(*lookups) for a in attempts]
-        ran = {request_id for h in mesh.hosts for _, request_id, _ in h.instance.runs}
-        has_ended = first.process.poll() is not None
-        check.cancel()
-        await asyncio.gather(check, return_exceptions=True)
-    lost = [a for a in looked_up if a.status is None and a.request_id in ran]
-    unanswered = sum(attempt.status is None for attempt in uploads)
+        attempts = await asyncio.gather(*sending)
+    return judge(record, [a for a in attempts if a.request_id.startswith("view")])
+
+
+def judge(record, lookups):
+    """Return how the rule was broken."""
+    durations = [attempt.ended_at - attempt.sent_at for attempt in lookups]
+    lasting = [s for s in durations if s > LOOKUP_TIMEOUT_S]
+    late = [s for s in durations if s > LOOKUP_TIMEOUT_S + TOLERANCE_S]
+    given_up = sum(attempt.ending == "given up" for attempt in lookups)
     summary = (
-        f"the daemon {'ended' if has_ended else 'went on'}; of {len(looked_up)}"
-        f" lookups on kept connections {len(lost)} were passed on to a sound instance"
-        f" and their connections closed without an answer; {unanswered} of"
-        f" {len(uploads)} uploads got no answer"
+        f"{len(lookups)} lookups: {len(lasting)} lasted longer than the route's"
+        f" timeout of {LOOKUP_TIMEOUT_S} s, {len(late)} of them had no answer"
+        f" {TOLERANCE_S} s after it, {given_up} got none until their client left"
     )
     print(summary)
-    return [f"LOST: {summary}"] if len(lost) > LOST_MAXIMUM else []
+    if len(late) >= COUNT_MINIMUM and len(late) > SHARE_MAXIMUM * len(lasting):
+        return [f"CONFIG: {summary}"]
+    return []
 
 
 run_case(Path(__file__).parent, scenario)
--- a/review/common_2/instance.py
+++ b/review/common_2/instance.py
@@ -46,11 +46,15 @@
         self.beating = None
         self.writers = set()
 
-    async def start(self, control, heartbeat_s):
-        """Open the port, and send heartbeats to the daemon's control address."""
+    async def start(self, control, heartbeat_s, delay_s=0.0):
+        """Open the port, and send heartbeats to the daemon's control address.
+
+        With ``delay_s`` the first heartbeat arrives late.
+        """
         host, port = self.address
         self.server = await serve(self.handle, host, port)
-        self.beating = asyncio.create_task(self.send_heartbeats(control, heartbeat_s))
+        sending = self.send_heartbeats(control, heartbeat_s, delay_s)
+        self.beating = asyncio.create_task(sending)
 
     def crash(self):
         """End without notice: the port closes and all connections are reset."""
@@ -144,8 +148,9 @@
             self.record(f"instance {self.name}: heartbeat {state!r} acknowledged")
         return is_taken
 
-    async def send_heartbeats(self, control, heartbeat_s):
-        """Send heartbeats at the interval of the settings."""
+    async def send_heartbeats(self, control, heartbeat_s, delay_s):
+        """Send heartbeats at the interval of the settings, the first one late."""
+        await asyncio.sleep(delay_s)
         while True:
             await self.beat(control)
             await asyncio.sleep(heartbeat_s)
