--- a/review/common_2/mesh.py
+++ b/review/common_2/mesh.py
@@ -255,17 +255,20 @@
         ]
 
     async def __aenter__(self):
-        await self.store.listen(ADDRESS, self.store_port)
-        for host in self.hosts:
-            host.start()
-        for host in self.hosts:
-            await host.instance.start(host.endpoint("control"), HEARTBEAT_S)
         try:
+            await self.store.listen(ADDRESS, self.store_port)
+            for host in self.hosts:
+                host.start()
+            for host in self.hosts:
+                await host.instance.start(host.endpoint("control"), HEARTBEAT_S)
             async with asyncio.timeout(30):
                 await self.wait_until_served()
         except TimeoutError:
             await self.__aexit__()
             raise CannotRun("the daemons did not become ready") from None
+        except BaseException:
+            await self.__aexit__()
+            raise
         self.is_first_start = False
         return self
 
