--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import os
 import signal
@@ -25,6 +26,8 @@
 # Time for which an upstream runs a deadly request, and until it has started again.
 DEADLY_AFTER_S = 0.03
 RESTART_S = 0.5
+# Time for which an upstream does not read a request to its deaf path.
+DEAF_S = 60.0
 COLUMNS = [
     "name",
     "host",
@@ -44,13 +47,15 @@
 ]
 
 
-def make_configuration(version, keys=(KEY,), rate=1000, routes=ROUTES):
+def make_configuration(version, keys=(KEY,), rate=1000, routes=ROUTES, limits=None):
     """Return the spec of a configuration with one organisation.
 
-    ``rate``, in requests a second, is also its burst.
+    ``rate``, in requests a second, is also its burst. ``limits`` bound what callers may
+    send.
     """
     return {
         "version": version,
+        "limits": limits,
         "routes": {"columns": COLUMNS, "rows": routes},
         "tenants": {
             "columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
@@ -86,12 +91,18 @@
         Whether its answers state that it leaves.
     deadly_path : str
         Path whose requests end the upstream shortly after their arrival.
+    deaf_path : str
+        Path whose requests are not read, and answered late.
     ends : int
         How often the upstream has ended in this way.
     has_ended : asyncio.Event
         Set when it ends; see `SidecarMesh.restart_upstreams`.
     connections : set of asyncio.Transport
         Connections over which requests came.
+    padding_bytes : int
+        Bytes that its answers have behind the path.
+    bodies : dict of str to (int, str)
+        Length and SHA-256 of the last body by identifier of the request.
     beats : int
         Sequence number of the last heartbeat.
     born : int
@@ -111,9 +122,12 @@
         self.rate_limit = None
         self.is_leaving = False
         self.deadly_path = ""
+        self.deaf_path = ""
         self.ends = 0
         self.has_ended = asyncio.Event()
         self.connections = set()
+        self.padding_bytes = 0
+        self.bodies = {}
         self.beats = 0
         self.state = "ready"
         self.born = int(1000 * time.time())
@@ -139,7 +153,9 @@
         if request.path == self.deadly_path:
             await asyncio.sleep(DEADLY_AFTER_S)
             self.end()
-        await request.read()
+        if request.path == self.deaf_path:
+            await asyncio.sleep(DEAF_S)
+        await self.read_body(request)
         if self.behaviour == "slow":
             await asyncio.sleep(self.slow_s)
         if self.behaviour == "reset":
@@ -152,7 +168,17 @@
         status = 500 if failed else 200
         if self.behaviour == "stutter":
             self.late[request.transport] = encode_answer(request.path, headers)
-        return web.Response(status=status, text=request.path, headers=headers)
+        text = request.path + "." * self.padding_bytes
+        return web.Response(status=status, text=text, headers=headers)
+
+    async def read_body(self, request):
+        """Read a body in parts, and keep its length and SHA-256 by its request."""
+        digest, length = hashlib.sha256(), 0
+        async for part in request.content.iter_any():
+            digest.update(part)
+            length += len(part)
+        request_id = request.headers.get("X-Request-Id", "")
+        self.bodies[request_id] = (length, digest.hexdigest())
 
     def end(self):
         """End the process: reset all connections."""
@@ -258,11 +284,16 @@
         Source tree of the daemons' program.
     slots : int
         Slots that each upstream states.
+    limits : dict or None
+        Memory and descriptors of a daemon, as its settings state them.
     """
 
-    def __init__(self, count=2, services=("checkout",), root=ROOT, slots=8):
+    def __init__(
+        self, count=2, services=("checkout",), root=ROOT, slots=8, limits=None
+    ):
         self.count = count
         self.slots = slots
+        self.limits = limits
         self.services = services
         self.root = root
         self.blocks = PortBlocks()
@@ -284,6 +315,8 @@
             service = self.services[number % len(self.services)]
             sidecar = Sidecar(number, "ab"[number % 2], service, ports, self.store_port)
             sidecar.upstream.slots = self.slots
+            if self.limits is not None:
+                sidecar.settings["limits"] = self.limits
             self.sidecars.append(sidecar)
             await self.start_upstream(sidecar)
             sidecar.process = await sidecar.start(self.folder.name, self.root)
@@ -430,11 +463,11 @@
         ]
 
 
-def run_mesh(scenario, count=2):
+def run_mesh(scenario, count=2, limits=None):
     """Start a mesh of ``count`` daemons and run a coroutine function with it."""
 
     async def run():
-        async with SidecarMesh(count) as mesh:
+        async with SidecarMesh(count, limits=limits) as mesh:
             await scenario(mesh)
 
     asyncio.run(run())
