Parse what is slow to parse in turns, and not beyond the requests that may wait

Cause: reading pauses at 32 requests of a connection, but all that the event loop had read by then, up to 256 KB and several times in a row, was parsed at once: thousands of requests, or tens of thousands of chunks, while nothing else ran.

Change: bytes are parsed in slices of 4 KB, no further than the requests that may wait; the rest stays as it came. Small reads are parsed at once.

--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -36,6 +36,7 @@
 from egretlift.signals import handle_signals
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.http_server import (
+    ServerGroup,
     cancel_pending,
     check_connections,
     listen,
@@ -83,6 +84,7 @@
     """Open the HTTP ports and return their (server, listener) pairs."""
     settings = board.settings
     metrics = (settings.address, settings.metrics_port)
+    group = ServerGroup(board.memory)
     ports = []
     for handle, endpoint, repeated_header in (
         (handle_readiness, settings.readiness, ""),
@@ -93,7 +95,7 @@
     ):
         handle_one = bind_board(handle, board)
         ports.append(
-            await listen(handle_one, settings, *endpoint, repeated_header, board.memory)
+            await listen(handle_one, settings, *endpoint, repeated_header, group)
         )
     return ports
 
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -37,6 +37,7 @@
     remove_holder,
 )
 from egretlift.transport.messages import make_outcome_headers, make_refusal_answer
+from egretlift.transport.turns import TURN_S, Turns, add_turn
 
 BACKLOG = 1024
 # Bytes received since the last body byte: request line, headers, trailers and chunk
@@ -51,6 +52,8 @@
 # How long a client may take to close its side after it has read most of the last
 # answer.
 LINGER_S = 1.0
+# Received bytes that are parsed without a look at the time.
+SLICE_BYTES = 4096
 # Requests of one connection that run at the same time; reading pauses at this number.
 PIPELINED_MAXIMUM = 32
 OVERLAPPING_METHODS = frozenset(("GET", "HEAD"))
@@ -105,6 +108,24 @@
         )
 
 
+class ServerGroup:
+    """What the servers of a process share.
+
+    Attributes
+    ----------
+    account : MemoryAccount
+        Bounds the memory of all connections.
+    turns : Turns
+        Turns of the connections that have much to parse.
+    """
+
+    __slots__ = ("account", "turns")
+
+    def __init__(self, account):
+        self.account = account
+        self.turns = Turns()
+
+
 class Server:
     """What the connections of one port share.
 
@@ -117,8 +138,8 @@
     repeated_header : str
         Name, in lower case, of a request header that each response repeats; empty for
         none.
-    account : MemoryAccount
-        Account of the process, which bounds what all connections hold.
+    group : ServerGroup
+        Servers of the same process.
 
     Attributes
     ----------
@@ -128,19 +149,19 @@
     """
 
     __slots__ = (
-        "account",
         "connections",
+        "group",
         "handle",
         "may_report",
         "repeated_header",
         "settings",
     )
 
-    def __init__(self, handle, settings, repeated_header, account):
+    def __init__(self, handle, settings, repeated_header="", group=None):
         self.handle = handle
         self.settings = settings
         self.repeated_header = repeated_header
-        self.account = account
+        self.group = group or ServerGroup(MemoryAccount())
         self.connections = set()
         self.may_report = make_report_limiter(MALFORMED_EVENTS_PER_SECOND)
 
@@ -167,12 +188,15 @@
     headers_memory_bytes, pending_memory_bytes : int
         Memory of the headers of the request that is being read, and of the pending
         requests.
+    unparsed : bytes
+        Received bytes that wait for a turn, or until further requests may be read.
     progress_at : float
         Clock reading, in seconds, when the state of reading last changed or a part of
         a body arrived.
     """
 
     __slots__ = (
+        "account",
         "awaits_continue",
         "body",
         "fields",
@@ -192,15 +216,20 @@
         "server",
         "target",
         "transport",
+        "turns",
+        "unparsed",
     )
 
     def __init__(self, server):
         self.server = server
+        self.account = server.group.account
+        self.turns = server.group.turns
         self.transport = None
         self.pending = deque()
         self.parser = httptools.HttpRequestParser(self)
         self.head_bytes = 0
         self.held = 0
+        self.unparsed = b""
         self.pending_memory_bytes = 0
         self.is_ended = False
         self.is_closing = False
@@ -222,14 +251,16 @@
         """Keep the transport, and detect clients that are gone."""
         self.transport = transport
         self.server.connections.add(self)
-        add_holder(self.server.account, self, CONNECTION_MEMORY_BYTES)
+        add_holder(self.account, self, CONNECTION_MEMORY_BYTES)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
     def connection_lost(self, error):
         """Cancel the requests of the client."""
         self.server.connections.discard(self)
-        remove_holder(self.server.account, self)
+        remove_holder(self.account, self)
+        self.is_ended = True
+        self.forget_message()
         pending, self.pending = self.pending, deque()
         for item in pending:
             if item.task is not None:
@@ -245,17 +276,61 @@
         self.is_unread = False
         self.write_ready()
 
+    def may_read(self):
+        """Return whether further requests may be read, or ignored after the last one.
+
+        None are while too many are pending, or answers unread.
+        """
+        return not self.is_unread and len(self.pending) < PIPELINED_MAXIMUM
+
     def resume_reading(self):
-        """Read further requests unless too many are pending, or answers unread."""
-        if self.is_unread or len(self.pending) >= PIPELINED_MAXIMUM:
+        """Read further requests if that is allowed, first from the unparsed bytes."""
+        if not self.may_read() or self.transport.is_closing():
             return
-        if not self.transport.is_closing():
+        if self.is_ended:
+            self.unparsed = b""
+        if self.unparsed:
+            add_turn(self.turns, self)
+        else:
             self.transport.resume_reading()
 
     def data_received(self, data):
         """Parse bytes, and start the requests that they complete."""
         if self.is_ended:
             return
+        if len(data) > SLICE_BYTES:
+            self.unparsed = data
+            # Connections that wait for a turn come first.
+            if self.turns.waiting or self.take_turn():
+                self.transport.pause_reading()
+                add_turn(self.turns, self)
+            return
+        self.parse(data)
+        self.count_memory()
+        self.start_pending()
+
+    def take_turn(self):
+        """Parse unparsed bytes for a while; return whether another turn is needed.
+
+        None is while no more may be read; `resume_reading` asks for one afterwards.
+        """
+        until = read_clock() + TURN_S
+        view, start = memoryview(self.unparsed), 0
+        while start < len(view) and self.may_read() and not self.is_ended:
+            self.parse(view[start : start + SLICE_BYTES])
+            start += SLICE_BYTES
+            if read_clock() > until:
+                break
+        self.unparsed = b"" if self.is_ended else bytes(view[start:])
+        self.progress_at = read_clock()
+        self.count_memory()
+        self.start_pending()
+        if not self.unparsed:
+            self.resume_reading()
+        return bool(self.unparsed) and self.may_read()
+
+    def parse(self, data):
+        """Parse bytes; the requests that they complete are pending then."""
         # Counted before parsing, because the parser buffers an incomplete line.
         self.head_bytes += len(data)
         try:
@@ -266,21 +341,19 @@
             self.refuse_malformed(False, type(error).__name__)
         if self.head_bytes > HEAD_BYTES_MAXIMUM:
             self.refuse_malformed(True, "head too large")
-        self.count_memory()
-        self.start_pending()
 
     def count_memory(self):
         """Tell the account how much memory the connection holds.
 
         The bytes of a head count twice, as the parser and the headers may have them.
         """
-        if self not in self.server.account.holders:
+        if self not in self.account.holders:
             return
-        held = CONNECTION_MEMORY_BYTES + self.pending_memory_bytes
+        held = CONNECTION_MEMORY_BYTES + self.pending_memory_bytes + len(self.unparsed)
         if not self.is_ended:
             held += 2 * self.head_bytes + self.headers_memory_bytes
             held += measure_body(self.body)
-        change_held(self.server.account, self, held)
+        change_held(self.account, self, held)
 
     def may_refuse(self):
         """Return whether a request is being read that can be refused."""
@@ -304,6 +377,7 @@
         self.headers, self.fields = [], {}
         self.headers_memory_bytes = self.head_bytes = 0
         self.body = PartialBody()
+        self.unparsed = b""
 
     def on_message_begin(self):
         """Start reading a request."""
@@ -503,7 +577,7 @@
         # What waits on the socket is read only once the client reads the last answer.
         if self.is_closing and not self.is_unread and silent_s > LINGER_S:
             self.transport.close()
-        if self.is_ended or self.pending:
+        if self.is_ended or self.pending or self.unparsed:
             return
         if not self.in_message:
             if silent_s > IDLE_S:
@@ -539,13 +613,13 @@
             connection.check_time(now)
 
 
-async def listen(handle, settings, address, port, repeated_header="", account=None):
+async def listen(handle, settings, address, port, repeated_header="", group=None):
     """Serve HTTP on one port and return (server, listener); see `Server`.
 
-    `check_connections` is to run as long as the listener is open. Without an account,
-    the connections of the port have one of their own.
+    `check_connections` is to run as long as the listener is open. Without a group, the
+    server has one of its own.
     """
-    server = Server(handle, settings, repeated_header, account or MemoryAccount())
+    server = Server(handle, settings, repeated_header, group)
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(
         lambda: ServerConnection(server),
--- a/egretlift/transport/tests/test_memory.py
+++ b/egretlift/transport/tests/test_memory.py
@@ -16,7 +16,7 @@
     read_start,
 )
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import Server, ServerConnection
+from egretlift.transport.http_server import Server, ServerConnection, ServerGroup
 from egretlift.transport.memory import (
     SMALL_BYTES,
     MemoryAccount,
@@ -32,6 +32,7 @@
     b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n",
     b"POST /a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\nabc",
     b"no request\r\n\r\n",
+    300 * b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
 )
 
 
@@ -105,7 +106,8 @@
 async def receive(pieces, is_lost_first):
     """Return what an account holds once a connection that got bytes is lost."""
     account = MemoryAccount(1)
-    connection = ServerConnection(Server(respond, Limits(), "", account))
+    group = ServerGroup(account)
+    connection = ServerConnection(Server(respond, Limits(), "", group))
     connection.connection_made(Transport())
     for piece in pieces:
         connection.data_received(piece)
@@ -175,7 +177,7 @@
     @settings(max_examples=200, deadline=None)
     @given(
         st.lists(st.sampled_from(REQUESTS), max_size=5),
-        st.lists(st.integers(0, 400), max_size=4),
+        st.lists(st.integers(0, 10_000), max_size=4),
         st.booleans(),
     )
     def test_connections(self, requests, cuts, is_lost_first):
