Bound the memory of answers over all connections of a daemon

What callers saw: clients that ask for answers of 4 MiB and read nothing made a daemon take 518 MB, and 752 MB where the answers come from another daemon; it grew with their number.

Cause: what a connection had not written counted nowhere, and had no end as long as its client kept the connection. Answers that were being received had a bound of their own, 64 MiB for each of two pools, and were copied into one piece and behind their head.

Change: the account of the process counts responses from the moment that they are there until they are written, and answers that are being received; the bound of each pool goes. A client that has read nothing for 3 s is closed when the account is 85% full, and in any case after 60 s. Large answers stay in the parts in which they came.

--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -274,8 +274,8 @@
         self.awaited_tokens = {}
         self.memory = MemoryAccount(settings.memory_mb)
         self.memory.report = self.report_memory
-        self.upstream_pool = Pool()
-        self.peer_pool = Pool()
+        self.upstream_pool = Pool(self.memory)
+        self.peer_pool = Pool(self.memory)
         self.own_failure_share = 0.0
         self.own_failure_share_at = 0.0
         self.own_entry = None
--- a/egretlift/sidecar/documents.py
+++ b/egretlift/sidecar/documents.py
@@ -2,6 +2,7 @@
 
 from egretlift.documents import parse_document
 from egretlift.serving.peer_requests import exchange_with_peer
+from egretlift.transport.body import join_body
 from egretlift.transport.exchange import ExchangeBroken
 
 
@@ -25,4 +26,4 @@
         raise TimeoutError(f"no answer of {entry.host} in {timeout_s} s")
     if received.status != 200:
         raise ExchangeBroken(f"{entry.host} answered with status {received.status}")
-    return parse_document(received.body)
+    return parse_document(join_body(received.body))
--- a/egretlift/transport/body.py
+++ b/egretlift/transport/body.py
@@ -85,6 +85,31 @@
     return LargeBody(body.parts, body.size)
 
 
+def join_body(body):
+    """Return a body in one piece of bytes; it may be a `LargeBody`."""
+    return b"".join(body.parts) if isinstance(body, LargeBody) else body
+
+
+def join_small_parts(head, body):
+    """Return the parts of a message, which has one part if its body is small.
+
+    Parameters
+    ----------
+    head : bytes
+    body : bytes or LargeBody
+
+    Examples
+    --------
+    >>> join_small_parts(b"h", b"b")
+    [b'hb']
+    >>> join_small_parts(b"h", LargeBody([b"a", b"b"], 2))
+    [b'h', b'a', b'b']
+    """
+    if isinstance(body, LargeBody):
+        return [head, *body.parts]
+    return [head + body] if len(body) <= PART_BYTES else [head, body]
+
+
 def read_start(body, count):
     """Return at least the first ``count`` bytes of a body, or all if it is shorter.
 
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -12,7 +12,19 @@
 
 from egretlift.clock import read_clock
 from egretlift.documents import parse_integer
+from egretlift.transport.body import (
+    PartialBody,
+    append_data,
+    finish_body,
+    measure_body,
+)
 from egretlift.transport.http_messages import NO_BODY_STATUSES
+from egretlift.transport.memory import (
+    MemoryAccount,
+    add_holder,
+    change_held,
+    remove_holder,
+)
 from egretlift.transport.sockets import (
     make_poll,
     read_socket_error,
@@ -32,8 +44,6 @@
 # Longest wait for the true answer behind one that names no request. A waiting request
 # takes a slot of the upstream, which may never name requests when it fails.
 UNNAMED_WAIT_S = 1.0
-# Bodies of all unfinished answers of one pool.
-BUFFERED_BYTES_MAXIMUM = 64 * 1024 * 1024
 
 
 class ExchangeBroken(Exception):
@@ -51,7 +61,7 @@
     fields : dict
         Header values by name in lower case. Different values of a repeated header are
         joined by commas; equal ones count as one.
-    body : bytes
+    body : bytes or LargeBody
     framed : bool
         Whether the answer stated where it ends; otherwise its connection was closed.
     dropped : int
@@ -69,57 +79,20 @@
         self.dropped = dropped
 
 
-class BufferedBytes:
-    """Body bytes of unfinished answers, buffered by the connections of a pool.
-
-    Attributes
-    ----------
-    total : int
-        Buffered bytes of all connections.
-    connections : set of Connection
-        Connections with a request whose answer is not complete.
-    """
-
-    __slots__ = ("connections", "total")
-
-    def __init__(self):
-        self.total = 0
-        self.connections = set()
-
-
-def count_buffered(buffered, connection, count):
-    """Count received body bytes, and fail the largest answer when over the limit.
-
-    An upstream that sends without end therefore cannot use up the memory that the
-    answers of other upstreams need.
-    """
-    buffered.total += count
-    while buffered.total > BUFFERED_BYTES_MAXIMUM:
-        largest = max(buffered.connections, key=lambda other: other.body_bytes)
-        largest.fail("answers of this pool too large in total")
-        if largest is connection:
-            return
-
-
-def release_buffered(buffered, connection):
-    """Discard a connection's buffered body and stop tracking the connection."""
-    connection.forget_body()
-    buffered.connections.discard(connection)
-
-
 class Connection(asyncio.Protocol):
     """One client connection that carries one request at a time.
 
     Parameters
     ----------
-    buffered : BufferedBytes, optional
-        Shared by the connections of a pool; a new one if None.
+    account : MemoryAccount, optional
+        Account of the process, which bounds the memory of all unfinished answers; a
+        new one if None.
     """
 
     __slots__ = (
         "accepts",
+        "account",
         "body",
-        "body_bytes",
         "closed",
         "eof",
         "fields",
@@ -127,7 +100,7 @@
         "head_bytes",
         "head_only",
         "headers",
-        "buffered",
+        "held",
         "idle_limit_s",
         "idle_since",
         "in_answer",
@@ -143,12 +116,12 @@
         "waiter",
     )
 
-    def __init__(self, buffered=None):
+    def __init__(self, account=None):
         self.transport = None
         self.poll = None
         self.waiter = None
-        self.buffered = buffered or BufferedBytes()
-        self.body_bytes = 0
+        self.account = account or MemoryAccount()
+        self.held = 0
         self.head_bytes = 0
         self.stray_answers = 0
         self.closed = False
@@ -168,16 +141,29 @@
         """Reset the state of the previous answer."""
         self.headers = []
         self.fields = {}
-        self.forget_body()
+        self.body = PartialBody()
+        self.count_memory()
         self.framed = False
         self.in_answer = False
         self.in_head = False
 
-    def forget_body(self):
-        """Discard the body received so far and subtract it from the pool's total."""
-        self.buffered.total -= self.body_bytes
-        self.body_bytes = 0
-        self.body = []
+    def count_memory(self):
+        """Tell the account how much memory the unfinished answer takes."""
+        if self in self.account.holders:
+            change_held(self.account, self, measure_body(self.body))
+
+    def may_refuse(self):
+        """Return False: a request that was sent cannot be refused."""
+        return False
+
+    def drop_for_memory(self):
+        """Fail the open request, as the memory of its answer is needed."""
+        self.fail("answers too large in total")
+
+    def forget_answer(self):
+        """Discard the body received so far, and release its memory."""
+        self.body = PartialBody()
+        remove_holder(self.account, self)
 
     def connection_made(self, transport):
         """Keep the transport and set the socket options."""
@@ -261,10 +247,9 @@
         self.head_bytes = 0
         if self.waiter is None:
             return
-        self.body_bytes += len(data)
-        self.body.append(data)
-        count_buffered(self.buffered, self, len(data))
-        if self.body_bytes > ANSWER_BYTES_MAXIMUM:
+        append_data(self.body, data)
+        self.count_memory()
+        if self.body.size > ANSWER_BYTES_MAXIMUM:
             self.fail("answer too large")
 
     def on_message_complete(self):
@@ -292,7 +277,7 @@
             self.parser.get_status_code(),
             self.headers,
             self.fields,
-            b"".join(self.body),
+            finish_body(self.body),
             self.framed,
             self.stray_answers,
         )
@@ -321,7 +306,7 @@
         """Keep an answer that names no request until it is known that no other comes.
 
         Waiting ends after ``UNNAMED_WAIT_S`` at the latest. The body is dropped, as it
-        would take memory of the pool meanwhile.
+        would take memory meanwhile.
         """
         if self.unnamed_answer is None:
             received.body = b""
@@ -351,7 +336,7 @@
         If an answer that names no request came, the open request gets that one.
         """
         waiter, self.waiter = self.waiter, None
-        release_buffered(self.buffered, self)
+        self.forget_answer()
         if waiter is not None and not waiter.done():
             if self.unnamed_answer is not None:
                 waiter.set_result(self.unnamed_answer)
@@ -405,7 +390,7 @@
         self.start_answer()
         self.head_bytes = 0
         self.stray_answers = 0
-        self.buffered.connections.add(self)
+        add_holder(self.account, self, 0)
         loop = asyncio.get_running_loop()
         waiter = self.waiter = loop.create_future()
         timer = loop.call_later(timeout_s, self.time_out)
@@ -420,7 +405,7 @@
                 self.abort()
             timer.cancel()
             self.waiter = None
-            release_buffered(self.buffered, self)
+            self.forget_answer()
             self.idle_since = read_clock()
 
     def has_unread(self):
--- a/egretlift/transport/exchange.py
+++ b/egretlift/transport/exchange.py
@@ -6,8 +6,9 @@
 import anyio
 
 from egretlift.clock import read_clock
-from egretlift.transport.body import LargeBody
-from egretlift.transport.connection import BufferedBytes, Connection, ExchangeBroken
+from egretlift.transport.body import join_small_parts
+from egretlift.transport.connection import Connection, ExchangeBroken
+from egretlift.transport.memory import MemoryAccount
 
 __all__ = [
     "ExchangeBroken",
@@ -31,18 +32,18 @@
 
     Attributes
     ----------
-    buffered : BufferedBytes
-        Body bytes buffered by all connections of the pool.
+    account : MemoryAccount
+        Account of the memory that unfinished answers take.
     idle : dict
         A deque of idle connections for each endpoint, the last used one at the end.
     opened : int
         Connections opened so far.
     """
 
-    __slots__ = ("buffered", "idle", "opened")
+    __slots__ = ("account", "idle", "opened")
 
-    def __init__(self):
-        self.buffered = BufferedBytes()
+    def __init__(self, account=None):
+        self.account = account or MemoryAccount()
         self.idle = {}
         self.opened = 0
 
@@ -74,7 +75,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
-                lambda: Connection(pool.buffered), *endpoint
+                lambda: Connection(pool.account), *endpoint
             )
     except (OSError, TimeoutError, OverflowError, ValueError) as error:
         reason = type(error).__name__
@@ -107,9 +108,7 @@
         lines.append(f"Content-Length: {len(body)}")
     lines.append("\r\n")
     head = "\r\n".join(lines).encode("latin-1", "surrogateescape")
-    if isinstance(body, LargeBody):
-        return [head, *body.parts]
-    return [head + body]
+    return join_small_parts(head, body)
 
 
 async def exchange(
--- a/egretlift/transport/http_messages.py
+++ b/egretlift/transport/http_messages.py
@@ -3,6 +3,8 @@
 import json
 from http import HTTPStatus
 
+from egretlift.transport.body import join_small_parts
+
 STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}" for status in HTTPStatus
 }
@@ -44,7 +46,7 @@
     status : int
     headers : iterable of (str, str)
         Without ``Content-Length`` and ``Connection``, which the server adds.
-    body : bytes
+    body : bytes or LargeBody
     close : bool
         Whether the connection is to be closed once all requests that were started on
         it are answered.
@@ -72,7 +74,7 @@
 
 
 def encode_response(response, is_head, closes):
-    """Return the bytes of a response.
+    """Return the parts of a response, of which a small one has a single part.
 
     Parameters
     ----------
@@ -84,7 +86,8 @@
 
     Examples
     --------
-    >>> encode_response(Response(200, [("A", "b")], b"c"), False, True).split()[-4:]
+    >>> (data,) = encode_response(Response(200, [("A", "b")], b"c"), False, True)
+    >>> data.split()[-4:]
     [b'1', b'Connection:', b'close', b'c']
     """
     status, body = response.status, response.body or b""
@@ -97,4 +100,5 @@
     if closes:
         lines.append("Connection: close")
     lines.append("\r\n")
-    return "\r\n".join(lines).encode("latin-1", "replace") + body
+    head = "\r\n".join(lines).encode("latin-1", "replace")
+    return join_small_parts(head, body)
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -48,6 +48,10 @@
 # Longest pause in a body, and longest time that a connection may be idle.
 BODY_GAP_S = 5.0
 IDLE_S = 75.0
+# How long a client may read nothing of an answer before its connection is closed, and
+# before it may be closed for the memory that the answer takes.
+UNREAD_S = 60.0
+STALL_S = 3.0
 CHECK_INTERVAL_S = 1.0
 # How long a client may take to close its side after it has read most of the last
 # answer.
@@ -181,6 +185,12 @@
         Whether the last answer was written, and the client is to close the connection.
     is_unread : bool
         Whether the client leaves so many answers unread that no more are written.
+    is_stalled : bool
+        Whether the client has read nothing of them for ``STALL_S``.
+    unwritten_bytes : int
+        Bytes of answers that are left, when they were last looked at.
+    written_at : float
+        Clock reading, in seconds, when they last became fewer.
     in_message, in_head : bool
         Whether a request, or its head, is partly read.
     held : int
@@ -208,6 +218,7 @@
         "in_message",
         "is_closing",
         "is_ended",
+        "is_stalled",
         "is_unread",
         "parser",
         "pending",
@@ -218,6 +229,8 @@
         "transport",
         "turns",
         "unparsed",
+        "unwritten_bytes",
+        "written_at",
     )
 
     def __init__(self, server):
@@ -233,7 +246,9 @@
         self.pending_memory_bytes = 0
         self.is_ended = False
         self.is_closing = False
-        self.is_unread = False
+        self.is_unread = self.is_stalled = False
+        self.unwritten_bytes = 0
+        self.written_at = 0.0
         self.in_message = self.in_head = True
         self.progress_at = read_clock()
         self.start_message()
@@ -269,11 +284,13 @@
     def pause_writing(self):
         """Read and start no requests while the client does not read its responses."""
         self.is_unread = True
+        self.unwritten_bytes = self.transport.get_write_buffer_size()
+        self.written_at = read_clock()
         self.transport.pause_reading()
 
     def resume_writing(self):
         """Go on writing responses, and with the requests behind them."""
-        self.is_unread = False
+        self.is_unread = self.is_stalled = False
         self.write_ready()
 
     def may_read(self):
@@ -350,18 +367,23 @@
         if self not in self.account.holders:
             return
         held = CONNECTION_MEMORY_BYTES + self.pending_memory_bytes + len(self.unparsed)
+        held += self.transport.get_write_buffer_size()
         if not self.is_ended:
             held += 2 * self.head_bytes + self.headers_memory_bytes
             held += measure_body(self.body)
         change_held(self.account, self, held)
 
     def may_refuse(self):
-        """Return whether a request is being read that can be refused."""
-        return self.in_message and not self.is_ended
+        """Return whether a request is being read, or answers are left unread."""
+        return self.is_stalled or (self.in_message and not self.is_ended)
 
     def refuse_for_memory(self):
-        """Refuse the request that is being read, as its memory is needed."""
-        self.answer_last(MEMORY_REFUSAL)
+        """Refuse the request that is being read, or close with answers left unread."""
+        if self.is_stalled:
+            self.drop_for_memory()
+            remove_holder(self.account, self)
+        else:
+            self.answer_last(MEMORY_REFUSAL)
 
     def drop_for_memory(self):
         """Close the connection at once, as its memory is needed.
@@ -516,8 +538,17 @@
         except Exception as error:
             record_event("request-fault", error=repr(error))
             item.response = make_refusal_response(make_fault_refusal())
+        self.count_response(item)
         self.write_ready()
 
+    def count_response(self, item):
+        """Count the memory of a response until it is written."""
+        if item in self.pending:
+            memory_bytes = len(item.response.body or b"") + REQUEST_MEMORY_BYTES
+            item.memory_bytes += memory_bytes
+            self.pending_memory_bytes += memory_bytes
+            self.count_memory()
+
     def answer_cancelled(self, item, task):
         """Answer a request whose task was cancelled, so that later answers follow."""
         if task.cancelled() and not self.transport.is_closing():
@@ -535,7 +566,8 @@
             if item.repeated_value is not None:
                 header = (self.server.repeated_header, item.repeated_value)
                 response.headers = [*response.headers, header]
-            self.transport.write(encode_response(response, is_head, closes))
+            for part in encode_response(response, is_head, closes):
+                self.transport.write(part)
             if closes:
                 self.end_writing()
                 return
@@ -571,8 +603,21 @@
             return True
         return item.response.close and not any(i.task for i in self.pending)
 
+    def check_writing(self, now):
+        """Count what the client has read, and close if that is nothing for too long."""
+        if self.is_unread:
+            unwritten_bytes = self.transport.get_write_buffer_size()
+            if unwritten_bytes < self.unwritten_bytes:
+                self.written_at = now
+            self.unwritten_bytes = unwritten_bytes
+            self.is_stalled = now - self.written_at > STALL_S
+            if now - self.written_at > UNREAD_S:
+                self.transport.abort()
+        self.count_memory()
+
     def check_time(self, now):
         """Close the connection if its client has been silent for too long."""
+        self.check_writing(now)
         silent_s = now - self.progress_at
         # What waits on the socket is read only once the client reads the last answer.
         if self.is_closing and not self.is_unread and silent_s > LINGER_S:
--- a/egretlift/transport/tests/test_connection_reuse.py
+++ b/egretlift/transport/tests/test_connection_reuse.py
@@ -96,7 +96,7 @@
         await asyncio.gather(asking, return_exceptions=True)
         sock.close()
         idle = sum(map(len, pool.idle.values()))
-        unfinished = len(pool.buffered.connections)
+        unfinished = len(pool.account.holders)
         close_pool(pool)
         await asyncio.sleep(PAUSE_S)
         was_answered = not (is_cancelled and asking.cancelled())
--- a/egretlift/transport/tests/test_endless.py
+++ b/egretlift/transport/tests/test_endless.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from egretlift.transport import connection
+from egretlift.transport.body import join_body
 from egretlift.transport.exchange import (
     ExchangeBroken,
     Pool,
@@ -13,6 +14,7 @@
     encode_request,
     exchange,
 )
+from egretlift.transport.memory import MEMORY_DEFAULT_MB, MemoryAccount
 
 MEGABYTE = 1024 * 1024
 CHUNK_BYTES = 16 * 1024
@@ -89,20 +91,20 @@
         return "broken"
     except TimeoutError:
         return "timeout"
-    return received.body
+    return join_body(received.body)
 
 
-async def query_peers(*scripts):
+async def query_peers(*scripts, memory_mb=MEMORY_DEFAULT_MB):
     """Query peers concurrently; return results, bytes sent and bytes still buffered."""
     servers, endpoints, sent = await open_peers(*scripts)
-    pool = Pool()
+    pool = Pool(MemoryAccount(memory_mb))
     results = await asyncio.gather(
         *(query_peer(pool, endpoint) for endpoint in endpoints)
     )
     close_pool(pool)
     for server in servers:
         server.close()
-    return results, sent, pool.buffered.total
+    return results, sent, pool.account.total
 
 
 class TestEndless(unittest.TestCase):
@@ -138,10 +140,9 @@
     def test_several_bodies(self):
         """Guards against endless bodies that fail the answers of other peers."""
         endless = (STATUS + b"\r\n", b"x")
-        with mock.patch.object(connection, "BUFFERED_BYTES_MAXIMUM", MEGABYTE):
-            results, _, buffered = asyncio.run(
-                query_peers(endless, (ANSWER, b""), endless)
-            )
+        results, _, buffered = asyncio.run(
+            query_peers(endless, (ANSWER, b""), endless, memory_mb=4)
+        )
         self.assertEqual(results, ["broken", b"ok", "broken"])
         self.assertEqual(buffered, 0)
 
