Close the connections that were idle longest before the descriptors are used up

What callers saw: with as many idle connections as a daemon has descriptors, its ports accept nobody for as long as these stay (75 s), the readiness check and heartbeats included, and it cannot connect to its upstream.

Cause: no limit on connections; at the limit of descriptors the event loop closes each new connection at once.

Change: the servers of a process count their connections together. Above three quarters of the descriptors that are for sockets, the connections that did nothing for longest are closed, several at once; one whose request is handled stays. `limits.max_fds` of the settings file or the process's own limit, whichever is lower, gives the number: 2,925 for 4,100 descriptors.

A table of which connections are closed in transport/tests/test_memory.py.

--- a/egretlift/platform/bootfile.py
+++ b/egretlift/platform/bootfile.py
@@ -191,6 +191,7 @@
         metrics_port=ports[0] + 1,
         heartbeat_s=read_heartbeat_s(document, errors),
         memory_mb=read_limit(limits, "memory_mb", MEMORY_DEFAULT_MB, errors),
+        descriptors=read_limit(limits, "max_fds", None, errors),
         bounds=read_bounds(read_section(document, "bounds", errors), errors),
     )
     if errors:
--- a/egretlift/platform/tests/test_odd_settings.py
+++ b/egretlift/platform/tests/test_odd_settings.py
@@ -28,6 +28,7 @@
     *(("listen", name) for name in ("inbound", "outbound", "ready", "control")),
     ("platform", "address"),
     ("limits", "memory_mb"),
+    ("limits", "max_fds"),
     ("internal_ports", 0),
     ("internal_ports", 1),
     *(("bounds", name) for name in DEFAULT_BOUNDS),
@@ -43,8 +44,8 @@
 # Odd values that are valid in some places.
 POSSIBLE = {
     "text": ("node_name", "zone", "service"),
-    "number": ("heartbeat_s", "memory_mb", *DEFAULT_BOUNDS),
-    "null": ("heartbeat_s", "memory_mb"),
+    "number": ("heartbeat_s", "memory_mb", "max_fds", *DEFAULT_BOUNDS),
+    "null": ("heartbeat_s", "memory_mb", "max_fds"),
     "object": ("bounds",),
     "objects nested 5,000 deep": ("bounds",),
 }
--- a/egretlift/sidecar/board.py
+++ b/egretlift/sidecar/board.py
@@ -358,6 +358,13 @@
         self.count("memory_exceeded", action)
         self.log_change("memory-exceeded", action=action, held=held)
 
+    def report_surplus(self, count):
+        """Count and log connections that were closed as there were too many."""
+        self.counters[("connections_closed", "")] = (
+            self.counters.get(("connections_closed", ""), 0) + count
+        )
+        self.log_change("connections-closed", count=count)
+
     def mark_entry_changed(self):
         """Mark this host's entry as changed, so that it is stored and reported."""
         self.counter += 1
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -1,7 +1,9 @@
 """Entry point of the sidecar daemon: ``python -m egretlift.sidecar``."""
 
 import gc
+import math
 import os
+import resource
 import sys
 from functools import partial
 from pathlib import Path
@@ -44,6 +46,11 @@
 from egretlift.transport.memory import set_memory
 
 STDOUT = 1
+# Descriptors that are not for sockets, and the share of the others that is for
+# connections which the ports accept.
+FILE_DESCRIPTORS = 200
+ACCEPTED_SHARE = 0.75
+CONNECTIONS_MINIMUM = 20
 # The platform needs up to this long to notice that the daemon is not ready.
 READINESS_LAG_S = 2.7
 # A stopping daemon takes calls of other daemons for this long: in a rolling restart
@@ -80,11 +87,23 @@
     return handle_one
 
 
+def compute_connections_maximum(settings):
+    """Return how many connections all ports may have open together.
+
+    The rest of the process's descriptors is for its own connections, and for files.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limits = [settings.descriptors or math.inf, math.inf if soft < 0 else soft]
+    sockets = min(limits) - FILE_DESCRIPTORS
+    return max(CONNECTIONS_MINIMUM, ACCEPTED_SHARE * sockets)
+
+
 async def open_ports(board):
     """Open the HTTP ports and return their (server, listener) pairs."""
     settings = board.settings
     metrics = (settings.address, settings.metrics_port)
-    group = ServerGroup(board.memory)
+    group = ServerGroup(board.memory, compute_connections_maximum(settings))
+    group.report = board.report_surplus
     ports = []
     for handle, endpoint, repeated_header in (
         (handle_readiness, settings.readiness, ""),
--- a/egretlift/sidecar/metrics.py
+++ b/egretlift/sidecar/metrics.py
@@ -10,6 +10,7 @@
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, float("inf"))
 HELP = {
     "answers": "Answers given, by outcome and reason",
+    "connections_closed": "Idle connections closed as there were too many",
     "departures_told": "Departures of upstreams that restarted daemons were told",
     "datagrams_unsent": "Datagrams to hosts whose address no socket here can reach",
     "invalid_configurations": "Invalid configurations that were read and not used",
--- a/egretlift/sidecar/settings.py
+++ b/egretlift/sidecar/settings.py
@@ -68,12 +68,15 @@
         another daemon, in seconds.
     memory_mb : float
         Memory that the process may take, in megabytes.
+    descriptors : int or None
+        Descriptors that the process may open; None for those of the system's limit.
     """
 
     __slots__ = (
         "address",
         "bounds",
         "caller",
+        "descriptors",
         "header_timeout_s",
         "heartbeat_s",
         "heartbeats",
@@ -96,6 +99,7 @@
     ):
         self.is_first_start = False
         self.memory_mb = MEMORY_DEFAULT_MB
+        self.descriptors = None
         self.report_interval_s = report_interval_s
         self.header_timeout_s = header_timeout_s
         for name in self.__slots__:
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import heapq
+import math
 import socket
 from collections import deque
 from functools import partial
@@ -56,6 +58,8 @@
 # How long a client may take to close its side after it has read most of the last
 # answer.
 LINGER_S = 1.0
+# One in so many idle connections is closed when there are too many connections.
+CLOSED_SHARE = 32
 # Received bytes that are parsed without a look at the time.
 SLICE_BYTES = 4096
 # Requests of one connection that run at the same time; reading pauses at this number.
@@ -121,13 +125,47 @@
         Bounds the memory of all connections.
     turns : Turns
         Turns of the connections that have much to parse.
+    connections : set of ServerConnection
+        Connections of all servers.
+    connections_maximum : float
+        Number of connections above which idle ones are closed.
+    report : callable
+        Called with the number of connections that are closed for their number.
     """
 
-    __slots__ = ("account", "turns")
+    __slots__ = ("account", "connections", "connections_maximum", "report", "turns")
 
-    def __init__(self, account):
+    def __init__(self, account, connections_maximum=math.inf):
         self.account = account
         self.turns = Turns()
+        self.connections = set()
+        self.connections_maximum = connections_maximum
+        self.report = ignore_report
+
+
+def ignore_report(count):
+    """Report nothing."""
+
+
+def close_surplus(group, newest):
+    """Close connections if there are too many, those first that did nothing longest.
+
+    Connections with a request that is handled stay. If all are of that kind, the newest
+    is closed. Several are closed at once, so that each new one does not need a search.
+    """
+    if len(group.connections) <= group.connections_maximum:
+        return
+    idle = [item for item in group.connections if not item.pending and item != newest]
+    count = max(1, len(idle) // CLOSED_SHARE)
+    surplus = heapq.nsmallest(count, idle, key=get_progress_at) or [newest]
+    group.report(len(surplus))
+    for connection in surplus:
+        connection.drop()
+
+
+def get_progress_at(connection):
+    """Return when a connection last did something, in seconds."""
+    return connection.progress_at
 
 
 class Server:
@@ -266,13 +304,16 @@
         """Keep the transport, and detect clients that are gone."""
         self.transport = transport
         self.server.connections.add(self)
+        self.server.group.connections.add(self)
         add_holder(self.account, self, CONNECTION_MEMORY_BYTES)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        close_surplus(self.server.group, self)
 
     def connection_lost(self, error):
         """Cancel the requests of the client."""
         self.server.connections.discard(self)
+        self.server.group.connections.discard(self)
         remove_holder(self.account, self)
         self.is_ended = True
         self.forget_message()
@@ -386,10 +427,15 @@
             self.answer_last(MEMORY_REFUSAL)
 
     def drop_for_memory(self):
-        """Close the connection at once, as its memory is needed.
+        """Close the connection at once, as its memory is needed."""
+        self.drop()
+
+    def drop(self):
+        """Close the connection at once.
 
         Its requests are cancelled as those of a client that has left.
         """
+        self.server.group.connections.discard(self)
         self.is_ended = True
         self.forget_message()
         self.transport.abort()
--- a/egretlift/transport/tests/test_memory.py
+++ b/egretlift/transport/tests/test_memory.py
@@ -189,6 +189,34 @@
         self.assertEqual(found, (0, set(), set()))
 
 
+class TestSurplus(unittest.TestCase):
+    """Connections above the number that a process may have open."""
+
+    def test_order(self):
+        """Guards against handled requests that are cut off for idle connections."""
+
+        async def open_connections(states):
+            group = ServerGroup(MemoryAccount(), 3)
+            server = Server(respond, Limits(), "", group)
+            connections = [ServerConnection(server) for _ in states]
+            for number, state in enumerate(states):
+                connection = connections[number]
+                connection.connection_made(Transport())
+                if state == "handled":
+                    connection.data_received(REQUESTS[0])
+                connection.progress_at = number
+            return "".join("-x"[c.transport.is_closing()] for c in connections)
+
+        for states, expected in (
+            (["idle"] * 3, "---"),
+            (["idle"] * 5, "xx---"),
+            (["handled", "idle", "idle", "idle"], "-x--"),
+            (["handled"] * 4, "---x"),
+        ):
+            with self.subTest(states=states):
+                self.assertEqual(asyncio.run(open_connections(states)), expected)
+
+
 class TestBodies(unittest.TestCase):
     """Bodies in parts."""
 
