Take bodies as long as the configuration allows, and refuse longer ones by their head

What callers saw: a body of 60 MiB got 413 in calm, with `max_body_bytes` at 64 MiB.

Cause: the server had a limit of its own, 16 MiB, since each body was copied twice on its way and bodies had no common bound.

Change: on the ports for callers and other daemons the limit is that of the configuration in force; on those for readiness, heartbeats and metrics it is 1 MiB. A stated length over the limit is refused before the body is read. The server can ask for a refusal by the head of a request whose body is still to come; no port does yet.

--- a/egretlift/sidecar/bodies.py
+++ b/egretlift/sidecar/bodies.py
@@ -1,10 +1,17 @@
 """Limits on the size of request bodies."""
 
+import math
+
 from egretlift.serving.checks import raise_refusal
 
 
-def check_body(request, configuration):
+def get_body_bytes(board):
+    """Return the largest size of a body, infinite if the configuration states none."""
+    limit = board.configuration.body_bytes if board.configuration else None
+    return math.inf if limit is None else limit
+
+
+def check_body(board, request):
     """Raise `CheckFailed` if a body is larger than the configuration allows."""
-    limit = configuration.body_bytes if configuration else None
-    if limit is not None and len(request.body) > limit:
+    if len(request.body) > get_body_bytes(board):
         raise_refusal("body-too-large", 413, "send a smaller body")
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -32,15 +32,20 @@
     board.open_requests += 1
     try:
         answer = await answer_request(board, request)
-        retry_after_s = None
-        if answer.outcome is Outcome.REFUSED_NOT_RUN and answer.status in (429, 503):
-            retry_after_s = choose_retry_after_s(answer, board.random)
-        request_id = board.dialect.read_request_id(request.fields)
-        return make_response(board, answer, request_id, retry_after_s)
+        return make_caller_response(board, request, answer)
     finally:
         board.open_requests -= 1
 
 
+def make_caller_response(board, request, answer):
+    """Return the response that delivers an answer to a caller's request."""
+    retry_after_s = None
+    if answer.outcome is Outcome.REFUSED_NOT_RUN and answer.status in (429, 503):
+        retry_after_s = choose_retry_after_s(answer, board.random)
+    request_id = board.dialect.read_request_id(request.fields)
+    return make_response(board, answer, request_id, retry_after_s)
+
+
 async def answer_request(board, request):
     """Run a caller's request and return its answer, or a refusal if a check fails."""
     started = read_clock()
@@ -88,15 +93,9 @@
     ------
     CheckFailed
     """
-    dialect, configuration = board.dialect, board.configuration
+    dialect = board.dialect
     fields, target = request.fields, request.target
-    route = checks.resolve_route(
-        configuration, fields.get("host", ""), target.partition("?")[0]
-    )
-    organisation = checks.authenticate(configuration, route, dialect.read_key(fields))
-    request_id = dialect.read_request_id(fields)
-    if request_id is None:
-        checks.raise_refusal("no-request-id", 400, "send a request id")
+    route, organisation, request_id = check_caller(board, request)
     caller_timeout_s = dialect.read_deadline_s(fields)
     parent = None
     if route.is_open and caller_timeout_s is not None:
@@ -107,7 +106,7 @@
     # Requests that finish during the stop still need the calls made for them.
     if board.refusing and parent is None:
         checks.raise_refusal("stopping", 503, "retry on a new connection")
-    check_body(request, configuration)
+    check_body(board, request)
     if caller_timeout_s is not None:
         caller_timeout_s = max(0.0, caller_timeout_s - CALLER_MARGIN_S)
     call = Call(
@@ -147,6 +146,25 @@
     return call, parent
 
 
+def check_caller(board, request):
+    """Return route, organisation and identifier of a caller's request, by its head.
+
+    Raises
+    ------
+    CheckFailed
+    """
+    fields, configuration = request.fields, board.configuration
+    route = checks.resolve_route(
+        configuration, fields.get("host", ""), request.target.partition("?")[0]
+    )
+    key = board.dialect.read_key(fields)
+    organisation = checks.authenticate(configuration, route, key)
+    request_id = board.dialect.read_request_id(fields)
+    if request_id is None:
+        checks.raise_refusal("no-request-id", 400, "send a request id")
+    return route, organisation, request_id
+
+
 async def answer_before_end(board, call, serving):
     """Return the answer of ``serving``, or one of the daemon's own when it ends.
 
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -22,6 +22,7 @@
 from egretlift.platform.names import SETTINGS_FILE_VARIABLE
 from egretlift.platform.store import StoreClient
 from egretlift.sidecar.board import Board
+from egretlift.sidecar.bodies import get_body_bytes
 from egretlift.sidecar.callers import handle_caller
 from egretlift.sidecar.configurations import follow_configuration
 from egretlift.sidecar.eras import adopt_era
@@ -105,16 +106,19 @@
     group = ServerGroup(board.memory, compute_connections_maximum(settings))
     group.report = board.report_surplus
     ports = []
-    for handle, endpoint, repeated_header in (
-        (handle_readiness, settings.readiness, ""),
-        (handle_heartbeat, settings.heartbeats, ""),
-        (handle_peer, settings.peer, EXCHANGE_HEADER),
-        (handle_metrics, metrics, ""),
-        (handle_caller, settings.caller, ""),
+    calls = {"get_body_bytes": partial(get_body_bytes, board)}
+    for handle, endpoint, repeated_header, options in (
+        (handle_readiness, settings.readiness, "", {}),
+        (handle_heartbeat, settings.heartbeats, "", {}),
+        (handle_peer, settings.peer, EXCHANGE_HEADER, calls),
+        (handle_metrics, metrics, "", {}),
+        (handle_caller, settings.caller, "", calls),
     ):
         handle_one = bind_board(handle, board)
         ports.append(
-            await listen(handle_one, settings, *endpoint, repeated_header, group)
+            await listen(
+                handle_one, settings, *endpoint, repeated_header, group, **options
+            )
         )
     return ports
 
--- a/egretlift/sidecar/peers.py
+++ b/egretlift/sidecar/peers.py
@@ -83,7 +83,7 @@
     context = decode_context(request.fields.get(CONTEXT_HEADER, ""), now)
     if context is None or context["service"] != board.settings.service:
         return refuse("absent")
-    check_body(request, board.configuration)
+    check_body(board, request)
     adopt_known_limit(board, decode_statement(request.fields.get(STATEMENT_HEADER)))
     call = Call(
         request_id=board.dialect.read_request_id(request.fields),
--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -15,6 +15,7 @@
 import httptools
 
 from egretlift.clock import read_clock
+from egretlift.documents import parse_integer
 from egretlift.events import record_event
 from egretlift.outcome import Refusal
 from egretlift.transport.body import (
@@ -46,7 +47,8 @@
 # extensions.
 HEAD_BYTES_MAXIMUM = 64 * 1024
 HEADERS_MAXIMUM = 256
-BODY_BYTES_MAXIMUM = 16 * 1024 * 1024
+# Largest body on ports that state no other limit.
+BODY_BYTES_MAXIMUM = 1024 * 1024
 # Longest pause in a body, and longest time that a connection may be idle.
 BODY_GAP_S = 5.0
 IDLE_S = 75.0
@@ -70,6 +72,8 @@
 CONNECTION_MEMORY_BYTES = 8 * 1024
 HEADER_MEMORY_BYTES = 200
 REQUEST_MEMORY_BYTES = 12 * 1024
+# Arguments of `ServerConnection.refuse` for a body over the limit.
+TOO_LARGE = ("body-too-large", 413, "send a smaller body")
 MEMORY_REFUSAL = Refusal(
     "memory", 503, "retry after the stated time; this host holds too many bytes"
 )
@@ -182,6 +186,11 @@
         none.
     group : ServerGroup
         Servers of the same process.
+    get_body_bytes : callable
+        Returns the largest size of a body.
+    check_head : callable
+        Takes a `Request` whose body is still to come. Returns the `Response` if the
+        request can be refused without its body, else None.
 
     Attributes
     ----------
@@ -191,7 +200,9 @@
     """
 
     __slots__ = (
+        "check_head",
         "connections",
+        "get_body_bytes",
         "group",
         "handle",
         "may_report",
@@ -199,7 +210,17 @@
         "settings",
     )
 
-    def __init__(self, handle, settings, repeated_header="", group=None):
+    def __init__(
+        self,
+        handle,
+        settings,
+        repeated_header="",
+        group=None,
+        get_body_bytes=lambda: BODY_BYTES_MAXIMUM,
+        check_head=lambda request: None,
+    ):
+        self.get_body_bytes = get_body_bytes
+        self.check_head = check_head
         self.handle = handle
         self.settings = settings
         self.repeated_header = repeated_header
@@ -231,6 +252,10 @@
         Clock reading, in seconds, when they last became fewer.
     in_message, in_head : bool
         Whether a request, or its head, is partly read.
+    is_head_checked : bool
+        Whether its head was checked before its body had come.
+    body_started_at : float
+        Clock reading, in seconds, when it was.
     held : int
         Bytes that the connection holds, as its account has them.
     headers_memory_bytes, pending_memory_bytes : int
@@ -247,6 +272,7 @@
         "account",
         "awaits_continue",
         "body",
+        "body_started_at",
         "fields",
         "head_bytes",
         "headers",
@@ -256,6 +282,7 @@
         "in_message",
         "is_closing",
         "is_ended",
+        "is_head_checked",
         "is_stalled",
         "is_unread",
         "parser",
@@ -285,6 +312,8 @@
         self.is_ended = False
         self.is_closing = False
         self.is_unread = self.is_stalled = False
+        self.is_head_checked = False
+        self.body_started_at = 0.0
         self.unwritten_bytes = 0
         self.written_at = 0.0
         self.in_message = self.in_head = True
@@ -399,6 +428,10 @@
             self.refuse_malformed(False, type(error).__name__)
         if self.head_bytes > HEAD_BYTES_MAXIMUM:
             self.refuse_malformed(True, "head too large")
+        # Most requests are complete by now, and are checked when they are handled.
+        is_body_awaited = self.in_message and not self.in_head
+        if is_body_awaited and not (self.is_head_checked or self.is_ended):
+            self.check_head()
 
     def count_memory(self):
         """Tell the account how much memory the connection holds.
@@ -450,6 +483,7 @@
     def on_message_begin(self):
         """Start reading a request."""
         self.in_message = self.in_head = True
+        self.is_head_checked = False
         self.progress_at = read_clock()
         self.start_message()
 
@@ -480,9 +514,32 @@
         """Ask for the body if the client waits for that."""
         self.in_head = False
         if self.fields.get("expect", "").lower() == "100-continue":
-            self.awaits_continue = True
+            self.check_head()
+            self.awaits_continue = not self.is_ended
             self.send_continue()
 
+    def check_head(self):
+        """Refuse a request, if its head allows that, before its body is read."""
+        self.is_head_checked = True
+        self.body_started_at = read_clock()
+        response = self.server.check_head(self.make_request(b"", False))
+        stated = parse_integer(self.fields.get("content-length", "0"))
+        if response is not None:
+            self.respond_last(response)
+        elif stated is not None and stated > self.server.get_body_bytes():
+            self.refuse(*TOO_LARGE)
+
+    def make_request(self, body, keep_alive):
+        """Return the request whose head was read, with a body."""
+        return Request(
+            self.parser.get_method().decode("latin-1"),
+            self.target.decode("latin-1"),
+            self.headers,
+            self.fields,
+            body,
+            keep_alive,
+        )
+
     def send_continue(self):
         """Ask for the awaited body once all earlier requests are answered."""
         if self.awaits_continue and not self.pending:
@@ -495,8 +552,8 @@
             return
         self.head_bytes = 0
         self.progress_at = read_clock()
-        if self.body.size + len(data) > BODY_BYTES_MAXIMUM:
-            self.refuse("body-too-large", 413, "send a smaller body")
+        if self.body.size + len(data) > self.server.get_body_bytes():
+            self.refuse(*TOO_LARGE)
             return
         append_data(self.body, data)
 
@@ -509,14 +566,7 @@
         self.progress_at = read_clock()
         parser = self.parser
         is_last = parser.should_upgrade() or not parser.should_keep_alive()
-        request = Request(
-            parser.get_method().decode("latin-1"),
-            self.target.decode("latin-1"),
-            self.headers,
-            self.fields,
-            finish_body(self.body),
-            not is_last,
-        )
+        request = self.make_request(finish_body(self.body), not is_last)
         memory_bytes = (
             REQUEST_MEMORY_BYTES + self.headers_memory_bytes + measure_body(self.body)
         )
@@ -553,8 +603,11 @@
 
     def answer_last(self, refusal):
         """Queue a refusal as the last answer on this connection."""
+        self.respond_last(make_refusal_response(refusal))
+
+    def respond_last(self, response):
+        """Queue the last response on this connection, and read no further request."""
         self.is_ended = True
-        response = make_refusal_response(refusal)
         self.pending.append(PendingRequest(None, response, self.read_repeated_value()))
         self.forget_message()
         self.count_memory()
@@ -704,13 +757,13 @@
             connection.check_time(now)
 
 
-async def listen(handle, settings, address, port, repeated_header="", group=None):
-    """Serve HTTP on one port and return (server, listener); see `Server`.
+async def listen(handle, settings, address, port, *options, **named_options):
+    """Serve HTTP on one port and return (server, listener).
 
-    `check_connections` is to run as long as the listener is open. Without a group, the
-    server has one of its own.
+    For the further arguments see `Server`. `check_connections` is to run as long as the
+    listener is open. Without a group, the server has one of its own.
     """
-    server = Server(handle, settings, repeated_header, group)
+    server = Server(handle, settings, *options, **named_options)
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(
         lambda: ServerConnection(server),
