Refuse a caller by the head of its request before its body is read

What callers saw: a request with an unknown key, without a route or without an identifier was answered only once its whole body had come, or with 408 when the body stopped.

Cause: all checks came behind the body, so that each sender without a key could make a daemon hold bodies.

Change: the port for callers checks route, key and identifier as soon as the head is there and the body is not; the refusal closes the connection. Requests that come in one piece are handled as before. A refusal of another daemon that does not state whether the upstream was reached, as its server refused the request before it was whole, counts as not reached, so that the call is offered to another host.

--- a/egretlift/serving/offers.py
+++ b/egretlift/serving/offers.py
@@ -335,7 +335,9 @@
     answer = Answer(outcome, received.status, headers, received.body)
     answer.reason = fields.get(REASON_HEADER, "")
     set_free_after(answer, load)
-    answer.reached = fields.get(REACHED_HEADER) != "0"
+    # A daemon that refuses a request before it is whole does not state this.
+    is_refused = outcome is Outcome.REFUSED_NOT_RUN
+    answer.reached = fields.get(REACHED_HEADER, "0" if is_refused else "1") != "0"
     if answer.reason in UNAVAILABLE_REASONS and not answer.reached:
         eject(peer, read_clock())
     else:
--- a/egretlift/sidecar/callers.py
+++ b/egretlift/sidecar/callers.py
@@ -37,6 +37,24 @@
         board.open_requests -= 1
 
 
+def refuse_early(board, request):
+    """Return the response to a request whose body is still to come, or None.
+
+    A response is the refusal of a request that needs no body to be refused; its
+    connection closes.
+    """
+    started = read_clock()
+    try:
+        check_caller(board, request)
+    except checks.CheckFailed as error:
+        answer = answer_refusal(error.refusal)
+        record_answer(board, None, answer, read_clock() - started)
+        response = make_caller_response(board, request, answer)
+        response.close = True
+        return response
+    return None
+
+
 def make_caller_response(board, request, answer):
     """Return the response that delivers an answer to a caller's request."""
     retry_after_s = None
--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -23,7 +23,7 @@
 from egretlift.platform.store import StoreClient
 from egretlift.sidecar.board import Board
 from egretlift.sidecar.bodies import get_body_bytes
-from egretlift.sidecar.callers import handle_caller
+from egretlift.sidecar.callers import handle_caller, refuse_early
 from egretlift.sidecar.configurations import follow_configuration
 from egretlift.sidecar.eras import adopt_era
 from egretlift.sidecar.fetching import fetch_configuration, fetch_hosts
@@ -107,12 +107,13 @@
     group.report = board.report_surplus
     ports = []
     calls = {"get_body_bytes": partial(get_body_bytes, board)}
+    callers = {**calls, "check_head": partial(refuse_early, board)}
     for handle, endpoint, repeated_header, options in (
         (handle_readiness, settings.readiness, "", {}),
         (handle_heartbeat, settings.heartbeats, "", {}),
         (handle_peer, settings.peer, EXCHANGE_HEADER, calls),
         (handle_metrics, metrics, "", {}),
-        (handle_caller, settings.caller, "", calls),
+        (handle_caller, settings.caller, "", callers),
     ):
         handle_one = bind_board(handle, board)
         ports.append(
