End bodies that come too slowly to be worth their room

What callers saw: a sender that always adds a little to its body kept its connection and its room for as long as it liked; only a pause of 5 s ended it.

Cause: the time between two parts was bounded, the time of the whole body was not.

Change: after its first 15 s a body needs 4 KiB/s on average, else it is refused with 408.

Evidence: a table in transport/tests/test_http_server.py, in simulated time: 100 bytes a second are refused after 15 s, 5,000 a second are read for a minute.

--- a/egretlift/transport/http_server.py
+++ b/egretlift/transport/http_server.py
@@ -49,6 +49,10 @@
 HEADERS_MAXIMUM = 256
 # Largest body on ports that state no other limit.
 BODY_BYTES_MAXIMUM = 1024 * 1024
+# Slowest body that is read on, on average since its head, after a first time without a
+# limit.
+BODY_BYTES_PER_S = 4096
+BODY_START_S = 15.0
 # Longest pause in a body, and longest time that a connection may be idle.
 BODY_GAP_S = 5.0
 IDLE_S = 75.0
@@ -255,7 +259,7 @@
     is_head_checked : bool
         Whether its head was checked before its body had come.
     body_started_at : float
-        Clock reading, in seconds, when it was.
+        Clock reading, in seconds, at the end of its head.
     held : int
         Bytes that the connection holds, as its account has them.
     headers_memory_bytes, pending_memory_bytes : int
@@ -513,6 +517,7 @@
     def on_headers_complete(self):
         """Ask for the body if the client waits for that."""
         self.in_head = False
+        self.body_started_at = read_clock()
         if self.fields.get("expect", "").lower() == "100-continue":
             self.check_head()
             self.awaits_continue = not self.is_ended
@@ -521,7 +526,6 @@
     def check_head(self):
         """Refuse a request, if its head allows that, before its body is read."""
         self.is_head_checked = True
-        self.body_started_at = read_clock()
         response = self.server.check_head(self.make_request(b"", False))
         stated = parse_integer(self.fields.get("content-length", "0"))
         if response is not None:
@@ -729,8 +733,15 @@
         elif self.in_head:
             if silent_s > self.server.settings.header_timeout_s:
                 self.transport.close()
-        elif silent_s > BODY_GAP_S:
-            self.refuse("body-too-slow", 408, "send the body without long pauses")
+        elif silent_s > BODY_GAP_S or self.is_body_slow(now):
+            self.refuse(
+                "body-too-slow", 408, "send the body faster, without long pauses"
+            )
+
+    def is_body_slow(self, now):
+        """Return whether so little of a body has come that its room is better used."""
+        spent_s = now - self.body_started_at
+        return spent_s > BODY_START_S and self.body.size < spent_s * BODY_BYTES_PER_S
 
 
 def make_refusal_response(refusal):
--- a/egretlift/transport/tests/test_http_server.py
+++ b/egretlift/transport/tests/test_http_server.py
@@ -11,10 +11,13 @@
 from egretlift.transport.http_server import (
     BODY_BYTES_MAXIMUM,
     LINGER_S,
+    Server,
+    ServerConnection,
     check_connections,
     listen,
 )
 from egretlift.transport.tests.peers import LOOPS
+from egretlift.transport.tests.test_memory import Transport
 
 PAUSE_S = 0.01
 
@@ -180,6 +183,31 @@
             with self.subTest(name):
                 self.assertEqual(asyncio.run(wait_for_close(part)), (b"", 0))
 
+    def test_slow_bodies(self):
+        """Guards against bodies that take their room for ever, a little at a time."""
+
+        async def trickle(bytes_per_s, second):
+            server = Server(echo, Limits())
+            connection = ServerConnection(server)
+            connection.connection_made(Transport())
+            connection.data_received(b"POST /a" + HEAD + CHUNKED)
+            started = connection.body_started_at
+            chunk = b"%x\r\n%s\r\n" % (bytes_per_s, b"t" * bytes_per_s)
+            for passed_s in range(second):
+                connection.data_received(chunk)
+                connection.progress_at = started + passed_s
+                connection.check_time(started + passed_s)
+            return connection.is_ended
+
+        for name, bytes_per_s, seconds, expected in (
+            ("a little each second", 100, 20, True),
+            ("a little, not long", 100, 15, False),
+            ("enough", 5000, 60, False),
+        ):
+            with self.subTest(name):
+                found = asyncio.run(trickle(bytes_per_s, seconds))
+                self.assertEqual(found, expected)
+
     def test_client_that_never_closes(self):
         """Guards against connections that stay open after their last answer."""
 
