Take an answer for one only if HTTP has its status

With an end by a close, the caller got it as `HTTP/1.1 0 Unknown` with seal and body, for an idempotent request and for another; with a length, the request waited until its deadline.

Cause: a status below 200 counted as informational whatever it was, so that an answer with a length was skipped, and the end of one without completed it. Statuses above 599 were delivered as they were.

Change: one place for all answers of upstreams and other daemons, the end of their head in `Connection`, breaks the exchange if the status is not in 100 to 599. Whether the request ran is then unknown: 502, and only an idempotent one is sent again. The client that the product's own daemon uses got the same check in `transport/forward.py`.

--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -18,7 +18,7 @@
     finish_body,
     measure_body,
 )
-from egretlift.transport.http_messages import NO_BODY_STATUSES
+from egretlift.transport.http_messages import NO_BODY_STATUSES, STATUSES
 from egretlift.transport.memory import (
     MemoryAccount,
     add_holder,
@@ -232,8 +232,14 @@
             self.fields[lowered] = f"{known}, {value}"
 
     def on_headers_complete(self):
-        """Record whether the answer is framed: its end is known without a close."""
+        """Record whether the answer is framed: its end is known without a close.
+
+        One with a status that HTTP does not have is no answer, and breaks the exchange.
+        """
         self.in_head = False
+        if self.parser.get_status_code() not in STATUSES:
+            self.fail(f"status {self.parser.get_status_code()}")
+            return
         fields = self.fields
         self.framed = "content-length" in fields or "transfer-encoding" in fields
         if self.parser.get_status_code() in NO_BODY_STATUSES or self.head_only:
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -19,6 +19,7 @@
     Outcome,
     Refusal,
 )
+from egretlift.transport.http_messages import STATUSES
 from egretlift.transport.messages import (
     BUFFERED_BODY_BYTES_MAXIMUM,
     Answer,
@@ -166,6 +167,9 @@
                 allow_redirects=False,
                 expect100=is_streamed and expect,
             )
+            if response.status not in STATUSES:
+                discard_response(response)
+                return answer_unknown("answer-malformed"), {}
             whole = await read_small_body(response)
     except CONNECT_ERRORS:
         return answer_unconnected(), {}
--- a/egretlift/transport/http_messages.py
+++ b/egretlift/transport/http_messages.py
@@ -9,6 +9,8 @@
     status.value: f"HTTP/1.1 {status.value} {status.phrase}" for status in HTTPStatus
 }
 NO_BODY_STATUSES = (204, 304)
+# Informational and final statuses. An answer with another one is none.
+STATUSES = range(100, 600)
 
 
 class Request:
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -93,6 +93,10 @@
         Path whose requests end the upstream shortly after their arrival.
     deaf_path : str
         Path whose requests are not read, and answered late.
+    status_line : str
+        Status and reason of its answers if they are written as raw bytes, else "".
+    is_framed : bool
+        Whether such an answer states its length.
     ends : int
         How often the upstream has ended in this way.
     has_ended : asyncio.Event
@@ -123,6 +127,8 @@
         self.is_leaving = False
         self.deadly_path = ""
         self.deaf_path = ""
+        self.status_line = ""
+        self.is_framed = True
         self.ends = 0
         self.has_ended = asyncio.Event()
         self.connections = set()
@@ -165,12 +171,24 @@
         if self.behaviour == "call" and not request.path.startswith("/inner/"):
             failed = await self.make_call(request) != 200
         headers["X-Server-Seal"] = self.upstream_id
+        if self.status_line:
+            return await self.answer_raw(request, headers)
         status = 500 if failed else 200
         if self.behaviour == "stutter":
             self.late[request.transport] = encode_answer(request.path, headers)
         text = request.path + "." * self.padding_bytes
         return web.Response(status=status, text=text, headers=headers)
 
+    async def answer_raw(self, request, headers):
+        """Answer with the status line that is set, and end the connection."""
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        if self.is_framed:
+            lines.append(f"Content-Length: {len(request.path)}")
+        head = [f"HTTP/1.1 {self.status_line}", *lines, "", request.path]
+        request.transport.write("\r\n".join(head).encode())
+        request.transport.close()
+        raise ConnectionResetError
+
     async def read_body(self, request):
         """Read a body in parts, and keep its length and SHA-256 by its request."""
         digest, length = hashlib.sha256(), 0
