Split the HTTP server, count what the kernel holds, and send crowds in the soak

The server had grown to 786 lines: connections (`server_connection.py`), what the servers of a process share (`server_group.py`) and ports (`http_server.py`) are modules now, and the refusals are constants. Nothing moved changes its behaviour.

--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -39,12 +39,12 @@
 from egretlift.signals import handle_signals
 from egretlift.transport.exchange import close_idle, close_pool
 from egretlift.transport.http_server import (
-    ServerGroup,
     cancel_pending,
     check_connections,
     listen,
 )
 from egretlift.transport.memory import set_memory
+from egretlift.transport.server_group import ServerGroup
 
 STDOUT = 1
 # Descriptors that are not for sockets, and the share of the others that is for
--- a/egretlift/transport/sockets.py
+++ b/egretlift/transport/sockets.py
@@ -1,8 +1,11 @@
 """Options of sockets, and what the kernel knows of a connection."""
 
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 # A connection is closed when sent bytes stay unacknowledged, or the keepalive probes of
 # an idle connection unanswered, for this long.
@@ -19,6 +22,19 @@
     return errno.errorcode.get(code, str(code)) if code else ""
 
 
+def count_unread(transport):
+    """Return how many received bytes the kernel has that nobody has read yet.
+
+    0 if the system does not tell.
+    """
+    sock, count = transport.get_extra_info("socket"), struct.pack("i", 0)
+    try:
+        (unread,) = struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, count))
+    except OSError:
+        return 0
+    return unread
+
+
 def make_poll(sock):
     """Return a poll object that tells whether a socket can be read."""
     poll = select.poll()
--- a/egretlift/transport/tests/test_http_server.py
+++ b/egretlift/transport/tests/test_http_server.py
@@ -6,16 +6,15 @@
 import unittest
 from unittest import mock
 
-from egretlift.transport import http_server
+from egretlift.transport import http_server, server_connection
 from egretlift.transport.http_messages import Response
 from egretlift.transport.http_server import (
     BODY_BYTES_MAXIMUM,
-    LINGER_S,
     Server,
-    ServerConnection,
     check_connections,
     listen,
 )
+from egretlift.transport.server_connection import LINGER_S, ServerConnection
 from egretlift.transport.tests.peers import LOOPS
 from egretlift.transport.tests.test_memory import Transport
 
@@ -265,7 +264,7 @@
         for name, run in LOOPS:
             with (
                 self.subTest(name),
-                mock.patch.object(http_server, "LINGER_S", 10 * PAUSE_S),
+                mock.patch.object(server_connection, "LINGER_S", 10 * PAUSE_S),
                 mock.patch.object(http_server, "CHECK_INTERVAL_S", PAUSE_S),
             ):
                 received = run(read_slowly())
--- a/egretlift/transport/tests/test_memory.py
+++ b/egretlift/transport/tests/test_memory.py
@@ -16,7 +16,7 @@
     read_start,
 )
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import Server, ServerConnection, ServerGroup
+from egretlift.transport.http_server import Server
 from egretlift.transport.memory import (
     SMALL_BYTES,
     MemoryAccount,
@@ -24,6 +24,8 @@
     change_held,
     remove_holder,
 )
+from egretlift.transport.server_connection import ServerConnection
+from egretlift.transport.server_group import ServerGroup
 
 REQUESTS = (
     b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
--- a/egretlift/transport/tests/test_pipelined_order.py
+++ b/egretlift/transport/tests/test_pipelined_order.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import PIPELINED_MAXIMUM, listen
+from egretlift.transport.http_server import listen
+from egretlift.transport.server_connection import PIPELINED_MAXIMUM
 from egretlift.transport.tests.peers import LOOPS
 
 STEP_S = 0.002
--- a/egretlift/transport/tests/test_pipelining.py
+++ b/egretlift/transport/tests/test_pipelining.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from egretlift.settings import Settings
-from egretlift.transport import http_server
+from egretlift.transport import http_server, server_connection
 from egretlift.transport.http_messages import Response
 from egretlift.transport.http_server import (
     cancel_pending,
@@ -236,7 +236,7 @@
                     data = b"".join(encode("GET", path) for path in ahead)
                     data += encode("POST", "/never", "Content-Length: 9\r\n") + b"x"
                     with (
-                        mock.patch.object(http_server, "BODY_GAP_S", WORK_S / 2),
+                        mock.patch.object(server_connection, "BODY_GAP_S", WORK_S / 2),
                         mock.patch.object(http_server, "CHECK_INTERVAL_S", WORK_S / 9),
                     ):
                         received = run(server.exchange(data))
--- a/egretlift/transport/tests/test_turns.py
+++ b/egretlift/transport/tests/test_turns.py
@@ -4,9 +4,10 @@
 import unittest
 from unittest import mock
 
-from egretlift.transport import http_server
+from egretlift.transport import server_connection
 from egretlift.transport.http_messages import Response
-from egretlift.transport.http_server import Server, ServerConnection
+from egretlift.transport.http_server import Server
+from egretlift.transport.server_connection import ServerConnection
 from egretlift.transport.tests.test_memory import Limits, Transport
 
 REQUEST = b"GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -48,7 +49,10 @@
                 await asyncio.sleep(0)
 
         for name, data in SLOW.items():
-            with self.subTest(name), mock.patch.object(http_server, "TURN_S", 0.0):
+            with (
+                self.subTest(name),
+                mock.patch.object(server_connection, "TURN_S", 0.0),
+            ):
                 asyncio.run(asyncio.wait_for(scenario(data), 30))
 
 
--- a/integration/soak.py
+++ b/integration/soak.py
@@ -18,7 +18,17 @@
 import time
 from pathlib import Path
 
+from integration.raw import read_memory
 from integration.soak_callers import Record, find_violations, run_caller
+from standins.crowds import (
+    CHUNK_BYTES,
+    MEBIBYTE,
+    gather_crowd,
+    send_chunks,
+    send_length,
+    send_open_head,
+    send_requests,
+)
 from standins.faulty import DEFECTS, FaultyUpstream
 from standins.ports import allocate_port
 from standins.proxy import Pair, change_pair, cut_pair, open_pair
@@ -37,6 +47,17 @@
 # Version with which a mesh starts.
 FIRST_VERSION = 3
 FAULTS_PER_S = 0.8
+# Memory of a daemon, and crowds of clients that exceed it; each lasts a short while.
+MEMORY_MB = 120
+CROWDS = (
+    (20, send_chunks(CHUNK_BYTES, 120)),
+    (8, send_chunks(2, 8, repeat=20_000)),
+    (20, send_length(8_000_000, 7 * MEBIBYTE)),
+    (300, send_open_head(200, 200)),
+    (50, send_requests(300, path="/nowhere/")),
+)
+CROWD_SETTLE_S = 2.0
+CROWD_PAUSE_S = 4.0
 FAULT_LINES = ("event=task-error", "event=request-fault", "Traceback")
 
 
@@ -56,7 +77,7 @@
     """
 
     def __init__(self, count, seed):
-        super().__init__(count)
+        super().__init__(count, limits={"memory_mb": MEMORY_MB, "max_fds": 4100})
         self.random = random.Random(seed)
         self.pairs = {}
         self.stopped = set()
@@ -252,6 +273,29 @@
             await asyncio.sleep(mesh.random.expovariate(FAULTS_PER_S))
 
 
+async def send_crowds(mesh, seconds, draw):
+    """Send crowds to random daemons, and report daemons that take too much memory."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        sidecar = draw.choice(mesh.sidecars)
+        count, parts = draw.choice(CROWDS)
+        process, port = sidecar.process, sidecar.ports[draw.choice((0, 1))]
+        async with gather_crowd(port, count, parts, CROWD_SETTLE_S):
+            if process.returncode is None and is_running(process.pid):
+                memory_mb = read_memory(process, "VmHWM")
+                if memory_mb > MEMORY_MB:
+                    mesh.violations.append(f"{sidecar.name} took {memory_mb:.0f} MB")
+        await asyncio.sleep(CROWD_PAUSE_S * draw.random())
+
+
+def is_running(pid):
+    """Return whether a process exists and has memory; one that has ended has none."""
+    try:
+        return "VmHWM" in Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+
+
 async def watch_processes(mesh):
     """Report daemons that end although no fault ended them."""
     while True:
@@ -310,6 +354,8 @@
         watching = asyncio.create_task(watch_processes(mesh))
         async with asyncio.TaskGroup() as group:
             group.create_task(inject_faults(mesh, seconds))
+            crowds = random.Random(f"{seed}-crowds")
+            group.create_task(send_crowds(mesh, seconds, crowds))
             for index, sidecar in enumerate(mesh.sidecars * CALLERS_PER_DAEMON):
                 caller = random.Random(f"{seed}-{index}")
                 port = sidecar.ports[1]
--- a/standins/crowds.py
+++ b/standins/crowds.py
@@ -110,16 +110,16 @@
 
 
 @contextlib.asynccontextmanager
-async def gather_crowd(port, count, parts):
+async def gather_crowd(port, count, parts, settle_s=SETTLE_TIMEOUT_S):
     """Open a crowd of clients, and close them at the end of the context.
 
-    The context begins once each client has sent its parts, was closed, or is not read
-    any more.
+    The context begins once each client has sent its parts or was closed, and after
+    ``settle_s`` at the latest, as a client may not be read any more.
     """
     clients = [Client() for _ in range(count)]
     tasks = [asyncio.create_task(run_client(c, port, parts)) for c in clients]
     try:
-        await asyncio.wait(tasks, timeout=SETTLE_TIMEOUT_S)
+        await asyncio.wait(tasks, timeout=settle_s)
         yield clients
     finally:
         for task in tasks:
