Hold the bound of unread answers while many answers end at once

Causes, from traces of memory beside the account at each change, on a scratch copy: - glibc raises the size from which it maps blocks after the first large one is freed; later answers lay in the heap and left holes. `sidecar/heap.py` fixes it at the start of the process. - Closing the connection that held most released nothing yet where its response was not written, as it stayed until the event loop told of the end: 4.2 MB more for each. A connection releases all that it holds at once now. - A connection to an upstream whose answer was whole could be closed for its bytes, which the request already had: up to 14 such answers at a time. Its bytes are pinned: they count, but it is not closed for them. - The transport keeps all that it is given until all is written, and counts what is left. It now gets one part at a time.

A pinned holder has a unit test.

--- a/egretlift/sidecar/main.py
+++ b/egretlift/sidecar/main.py
@@ -27,6 +27,7 @@
 from egretlift.sidecar.configurations import follow_configuration
 from egretlift.sidecar.eras import adopt_era
 from egretlift.sidecar.fetching import fetch_configuration, fetch_hosts
+from egretlift.sidecar.heap import return_large_blocks
 from egretlift.sidecar.heartbeats import handle_heartbeat, handle_readiness
 from egretlift.sidecar.host_entries import follow_hosts, forget_hosts
 from egretlift.sidecar.metrics import handle_metrics
@@ -260,5 +261,6 @@
     # The users' platform does not permit io_uring, which libuv uses unless told not to.
     # From uvloop 0.23 on, libuv uses it in any case; the dependencies exclude that.
     os.environ["UV_USE_IO_URING"] = "0"
+    return_large_blocks()
     options = {"use_uvloop": True}
     anyio.run(run_daemon, settings, path, backend_options=options)
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -23,6 +23,7 @@
     MemoryAccount,
     add_holder,
     change_held,
+    pin_holder,
     remove_holder,
 )
 from egretlift.transport.sockets import (
@@ -296,6 +297,8 @@
                 self.hold_answer(received)
                 return
         self.read_idle_limit(received.fields)
+        # From now on the request has the body.
+        pin_holder(self.account, self)
         waiter.set_result(received)
 
     def may_be_followed(self):
--- a/egretlift/transport/memory.py
+++ b/egretlift/transport/memory.py
@@ -38,7 +38,7 @@
     total : int
         Bytes of all holders.
     holders, large : set
-        All holders, and those with more than ``SMALL_BYTES``.
+        Holders that may be closed, and those of them with more than ``SMALL_BYTES``.
     is_making_room : bool
         Whether holders are being refused or closed at the moment.
     report : callable
@@ -87,11 +87,19 @@
     change_held(account, holder, held)
 
 
+def pin_holder(account, holder):
+    """Keep the bytes of a holder in the account, but no longer close it for them.
+
+    They are in use elsewhere, so that closing the holder would not release them.
+    """
+    account.holders.discard(holder)
+    account.large.discard(holder)
+
+
 def remove_holder(account, holder):
-    """Remove a holder, which then has no bytes; one that is not there is ignored."""
-    if holder in account.holders:
-        change_held(account, holder, 0)
-        account.holders.discard(holder)
+    """Remove a holder, pinned or not, which then has no bytes."""
+    change_held(account, holder, 0)
+    account.holders.discard(holder)
 
 
 def change_held(account, holder, held):
--- a/egretlift/transport/server_connection.py
+++ b/egretlift/transport/server_connection.py
@@ -129,8 +129,12 @@
         Whether the client has read nothing of them for ``STALL_S``.
     unread_bytes : int
         Bytes that the kernel had received when reading was found to be paused.
+    unwritten_parts : deque of bytes-like
+        Parts of responses that the transport has not got yet.
     unwritten_bytes : int
-        Bytes of answers that are left, when they were last looked at.
+        Bytes of these parts.
+    unread_answer_bytes : int
+        Bytes of responses that the client had left unread when last looked at.
     written_at : float
         Clock reading, in seconds, when they last became fewer.
     in_message, in_head : bool
@@ -177,8 +181,10 @@
         "transport",
         "turns",
         "unparsed",
+        "unread_answer_bytes",
         "unread_bytes",
         "unwritten_bytes",
+        "unwritten_parts",
         "written_at",
     )
 
@@ -199,7 +205,9 @@
         self.is_head_checked = False
         self.body_started_at = 0.0
         self.unread_bytes = 0
+        self.unread_answer_bytes = 0
         self.unwritten_bytes = 0
+        self.unwritten_parts = deque()
         self.written_at = 0.0
         self.in_message = self.in_head = True
         self.progress_at = read_clock()
@@ -227,10 +235,17 @@
     def connection_lost(self, error):
         """Cancel the requests of the client."""
         self.server.connections.discard(self)
+        self.release()
+
+    def release(self):
+        """Release what the connection holds, and cancel the requests of its client."""
         self.server.group.connections.discard(self)
         remove_holder(self.account, self)
         self.is_ended = True
+        self.awaits_continue = False
         self.forget_message()
+        self.unwritten_parts.clear()
+        self.unwritten_bytes = 0
         pending, self.pending = self.pending, deque()
         for item in pending:
             if item.task is not None:
@@ -239,7 +254,7 @@
     def pause_writing(self):
         """Read and start no requests while the client does not read its responses."""
         self.is_unread = True
-        self.unwritten_bytes = self.transport.get_write_buffer_size()
+        self.unread_answer_bytes = self.measure_unwritten()
         self.written_at = read_clock()
         self.transport.pause_reading()
 
@@ -326,12 +341,16 @@
         if self not in self.account.holders:
             return
         held = CONNECTION_MEMORY_BYTES + self.pending_memory_bytes + len(self.unparsed)
-        held += self.transport.get_write_buffer_size() + self.unread_bytes
+        held += self.measure_unwritten() + self.unread_bytes
         if not self.is_ended:
             held += 2 * self.head_bytes + self.headers_memory_bytes
             held += measure_body(self.body)
         change_held(self.account, self, held)
 
+    def measure_unwritten(self):
+        """Return the bytes of responses that the client has left unread."""
+        return self.unwritten_bytes + self.transport.get_write_buffer_size()
+
     def may_refuse(self):
         """Return whether a request is being read, or answers are left unread."""
         return self.is_stalled or (self.in_message and not self.is_ended)
@@ -339,8 +358,7 @@
     def refuse_for_memory(self):
         """Refuse the request that is being read, or close with answers left unread."""
         if self.is_stalled:
-            self.drop_for_memory()
-            remove_holder(self.account, self)
+            self.drop()
         else:
             self.answer_last(MEMORY_REFUSAL)
 
@@ -349,13 +367,8 @@
         self.drop()
 
     def drop(self):
-        """Close the connection at once.
-
-        Its requests are cancelled as those of a client that has left.
-        """
-        self.server.group.connections.discard(self)
-        self.is_ended = True
-        self.forget_message()
+        """Close the connection at once, and release what it holds."""
+        self.release()
         self.transport.abort()
 
     def forget_message(self):
@@ -541,39 +554,55 @@
 
     def write_ready(self):
         """Write the responses that are ready, in the order of their requests."""
+        self.write_parts()
         while self.pending and self.pending[0].response and not self.is_unread:
-            item = self.pending.popleft()
-            self.pending_memory_bytes -= item.memory_bytes
-            closes = self.is_last(item)
-            is_head = item.request is not None and item.request.method == "HEAD"
-            response = item.response
-            if item.repeated_value is not None:
-                header = (self.server.repeated_header, item.repeated_value)
-                response.headers = [*response.headers, header]
-            for part in encode_response(response, is_head, closes):
-                self.transport.write(part)
-            if closes:
-                self.end_writing()
-                return
+            self.queue_response(self.pending.popleft())
+            self.write_parts()
+        if self.is_closing:
+            self.end_writing()
+            return
         self.progress_at = read_clock()
         self.count_memory()
         self.send_continue()
         self.start_pending()
         self.resume_reading()
 
+    def queue_response(self, item):
+        """Queue the parts of a response; behind the last one nothing follows."""
+        self.pending_memory_bytes -= item.memory_bytes
+        response, closes = item.response, self.is_last(item)
+        is_head = item.request is not None and item.request.method == "HEAD"
+        if item.repeated_value is not None:
+            header = (self.server.repeated_header, item.repeated_value)
+            response.headers = [*response.headers, header]
+        parts = encode_response(response, is_head, closes)
+        self.unwritten_parts.extend(parts)
+        self.unwritten_bytes += sum(map(len, parts))
+        if closes:
+            self.is_ended = self.is_closing = True
+            self.awaits_continue = False
+            self.pending.clear()
+            self.pending_memory_bytes = 0
+
+    def write_parts(self):
+        """Write what is queued until the client does not read on.
+
+        The transport keeps a part until all of it is written, so it gets one at a time.
+        """
+        while self.unwritten_parts and not self.is_unread:
+            part = self.unwritten_parts.popleft()
+            self.unwritten_bytes -= len(part)
+            self.transport.write(part)
+
     def end_writing(self):
         """Close this side of the connection, and drop what the client still sends.
 
         Closing a socket with unread requests resets the connection, which may cost the
         client the answers that it has not read yet.
         """
-        self.is_ended = self.is_closing = True
-        self.awaits_continue = False
-        self.pending.clear()
-        self.pending_memory_bytes = 0
         self.count_memory()
         self.progress_at = read_clock()
-        if self.transport.is_closing():
+        if self.unwritten_parts or self.transport.is_closing():
             return
         self.transport.write_eof()
         self.resume_reading()
@@ -590,10 +619,10 @@
     def check_writing(self, now):
         """Count what the client has read, and close if that is nothing for too long."""
         if self.is_unread:
-            unwritten_bytes = self.transport.get_write_buffer_size()
-            if unwritten_bytes < self.unwritten_bytes:
+            unwritten_bytes = self.measure_unwritten()
+            if unwritten_bytes < self.unread_answer_bytes:
                 self.written_at = now
-            self.unwritten_bytes = unwritten_bytes
+            self.unread_answer_bytes = unwritten_bytes
             self.is_stalled = now - self.written_at > STALL_S
             if now - self.written_at > UNREAD_S:
                 self.transport.abort()
--- a/egretlift/transport/tests/test_memory.py
+++ b/egretlift/transport/tests/test_memory.py
@@ -22,6 +22,7 @@
     MemoryAccount,
     add_holder,
     change_held,
+    pin_holder,
     remove_holder,
 )
 from egretlift.transport.server_connection import ServerConnection
@@ -191,6 +192,26 @@
         self.assertEqual(found, (0, set(), set()))
 
 
+class TestPinned(unittest.TestCase):
+    """Holders whose bytes are in use elsewhere."""
+
+    def test_pinned(self):
+        """Guards against a holder that is closed although that releases nothing."""
+        account = MemoryAccount(1)
+        pinned, other = Holder(False), Holder(False)
+        for holder, held in ((pinned, 300_000), (other, 100_000)):
+            holder.account = account
+            add_holder(account, holder, held)
+        pin_holder(account, pinned)
+        change_held(account, other, 200_000)
+        self.assertEqual((pinned.state, other.state), ("open", "dropped"))
+        self.assertEqual(account.total, 300_000)
+        remove_holder(account, pinned)
+        self.assertEqual(
+            (account.total, account.holders, account.large), (0, set(), set())
+        )
+
+
 class TestSurplus(unittest.TestCase):
     """Connections above the number that a process may have open."""
 
