Abort a closed connection whose last answer is left unread

What callers would see: nothing; a client that reads nothing of a last answer below 64 KB and never closes kept its socket for ever, as closing waits for the rest to be written.

Cause: the check of silent clients closed such a connection once and looked at it no more.

Change: a connection that is closing is aborted 60 s after its last progress, and is not checked otherwise; on asyncio's loop its socket cannot be asked any more either.

Evidence: test_client_that_never_reads failed before (row 61 s) and passes. Found by reading, not by a crowd.

--- a/egretlift/transport/server_connection.py
+++ b/egretlift/transport/server_connection.py
@@ -122,7 +122,8 @@
     is_ended : bool
         Whether further bytes are ignored, because the last request was read.
     is_closing : bool
-        Whether the last answer was written, and the client is to close the connection.
+        Whether the last answer is queued, after which the client is to close the
+        connection.
     is_unread : bool
         Whether the client leaves so many answers unread that no more are written.
     is_stalled : bool
@@ -630,6 +631,10 @@
 
     def check_time(self, now):
         """Close the connection if its client has been silent for too long."""
+        if self.transport.is_closing():
+            if now - self.progress_at > UNREAD_S:
+                self.transport.abort()
+            return
         is_paused = bool(self.unparsed) or not self.may_read()
         self.unread_bytes = count_unread(self.transport) if is_paused else 0
         self.check_writing(now)
--- a/egretlift/transport/tests/test_http_server.py
+++ b/egretlift/transport/tests/test_http_server.py
@@ -14,7 +14,7 @@
     check_connections,
     listen,
 )
-from egretlift.transport.server_connection import LINGER_S, ServerConnection
+from egretlift.transport.server_connection import LINGER_S, UNREAD_S, ServerConnection
 from egretlift.transport.tests.peers import LOOPS
 from egretlift.transport.tests.test_memory import Transport
 
@@ -207,6 +207,20 @@
                 found = asyncio.run(trickle(bytes_per_s, seconds))
                 self.assertEqual(found, expected)
 
+    def test_client_that_never_reads(self):
+        """Guards against a closed connection that stays with its last answer unread."""
+
+        async def close(passed_s):
+            connection = ServerConnection(Server(echo, Limits()))
+            connection.connection_made(Transport())
+            connection.transport.close()
+            connection.check_time(connection.progress_at + passed_s)
+            return connection.transport.is_aborted
+
+        for passed_s, expected in ((UNREAD_S / 2, False), (UNREAD_S + 1, True)):
+            with self.subTest(passed_s=passed_s):
+                self.assertEqual(asyncio.run(close(passed_s)), expected)
+
     def test_client_that_never_closes(self):
         """Guards against connections that stay open after their last answer."""
 
--- a/egretlift/transport/tests/test_memory.py
+++ b/egretlift/transport/tests/test_memory.py
@@ -63,7 +63,7 @@
     """A transport without a network."""
 
     def __init__(self):
-        self.is_closed = False
+        self.is_closed = self.is_aborted = False
 
     def get_extra_info(self, name):
         return self
@@ -92,7 +92,8 @@
     def close(self):
         self.is_closed = True
 
-    abort = close
+    def abort(self):
+        self.is_closed = self.is_aborted = True
 
 
 class Limits:
