Tell a reset by the state of the connection, not by its pending error alone

Cause: a pending error of a socket is given once. While the upload was still being written, the write that failed took ECONNRESET, and libuv then reported the end of the stream. `eof_received` asked for the error, found none, and took the end for a close.

Why this works: the kernel keeps the state of the connection for as long as the socket lives. Only a close of the peer leads to CLOSE_WAIT; a reset or a time limit leads to CLOSE, whoever took the error. Both readers that let an end complete a body ask for it: the client of upstreams and daemons, and the product's own path (aiohttp).

--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -27,8 +27,8 @@
     remove_holder,
 )
 from egretlift.transport.sockets import (
+    find_end_error,
     make_poll,
-    read_socket_error,
     set_socket_options,
 )
 
@@ -199,7 +199,7 @@
         is_unframed_body = self.in_answer and not self.in_head and not self.framed
         if self.waiter is not None and is_unframed_body:
             self.reusable = False
-            error = read_socket_error(self.transport)
+            error = find_end_error(self.transport)
             if error:
                 self.fail(f"connection lost in the body: {error}")
             else:
--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -28,7 +28,7 @@
     read_outcome,
     select_answer_headers,
 )
-from egretlift.transport.sockets import read_socket_error
+from egretlift.transport.sockets import find_end_error
 
 # Raised before a connection exists, so the request cannot have been run.
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -71,7 +71,7 @@
 
     def eof_received(self):
         """Read the socket's error: libuv reports some resets as an end of stream."""
-        self.end_error = read_socket_error(self.transport)
+        self.end_error = find_end_error(self.transport)
         super().eof_received()
 
     def connection_lost(self, error):
--- a/egretlift/transport/sockets.py
+++ b/egretlift/transport/sockets.py
@@ -13,13 +13,34 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# State of a connection whose peer has closed its side, from ``tcp_states.h`` of Linux.
+TCP_CLOSE_WAIT = 8
 
 
-def read_socket_error(transport):
-    """Return the name of the pending error of a socket, "" if there is none."""
+def find_end_error(transport):
+    """Return why the end of a connection is no orderly close, "" if it is one.
+
+    The pending error alone does not tell: a failed write, or another reader of it, may
+    have taken it. The state does, as only a peer's close leads to ``TCP_CLOSE_WAIT``.
+    """
     sock = transport.get_extra_info("socket")
     code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    return errno.errorcode.get(code, str(code)) if code else ""
+    if code:
+        return errno.errorcode.get(code, str(code))
+    state = read_state(sock)
+    return "" if state in (None, TCP_CLOSE_WAIT) else f"state {state}"
+
+
+def read_state(sock):
+    """Return the state of a TCP connection, None if the system does not tell.
+
+    It is the first byte of ``struct tcp_info``; see ``tcp(7)``.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return None
+    return info[0] if info else None
 
 
 def count_unread(transport):
@@ -27,12 +48,16 @@
 
     0 if the system does not tell.
     """
-    sock, count = transport.get_extra_info("socket"), struct.pack("i", 0)
+    return read_count(transport.get_extra_info("socket"), termios.FIONREAD)
+
+
+def read_count(sock, request):
+    """Return the number that an ``ioctl`` request tells of a socket, 0 if it fails."""
     try:
-        (unread,) = struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, count))
+        (count,) = struct.unpack("i", fcntl.ioctl(sock, request, struct.pack("i", 0)))
     except OSError:
         return 0
-    return unread
+    return count
 
 
 def make_poll(sock):
--- a/egretlift/transport/tests/test_connection_end.py
+++ b/egretlift/transport/tests/test_connection_end.py
@@ -73,11 +73,21 @@
         """Return the socket, which is this object."""
         return self
 
-    def getsockopt(self, level, option):
-        """Return the pending error."""
+    def getsockopt(self, level, option, size=0):
+        """Return the pending error; the state of the connection is not known."""
+        if option == socket.TCP_INFO:
+            raise OSError
         assert (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR)
         return self.code
 
+    def get_write_buffer_size(self):
+        """Return 0: all of the request is written."""
+        return 0
+
+    def fileno(self):
+        """Raise an error: the kernel does not tell what is unacknowledged."""
+        raise OSError
+
     def write(self, data):
         """Discard the request."""
 
