Let an answer that ends early wait until its request is acknowledged

What callers saw: an instance ended its side in order in the middle of an upload, behind a sealed 200 without a length and a part of its body, and reset the connection later. The caller got the part as a complete answer (MIXED). An instance that crashes after it has read all that has come so far looks just so: the reset comes when the rest arrives.

Cause: the end alone completed the body. While the request is not read in full, a reset may still follow it.

Change: such an answer is held until all of the request is written and acknowledged; then the connection must still be in order. A reset or a failed write meanwhile breaks the exchange (502, run unknown). Answers with a length, in chunks, and to short requests that were acknowledged wait for nothing.

An instance that answers early, ends its side and reads on is still answered whole (`test_whole_answers`); a plain 502 at the end would have lost that.

--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -12,6 +12,7 @@
 
 from egretlift.clock import read_clock
 from egretlift.documents import parse_integer
+from egretlift.transport.answer_ends import END_CHECK_S, may_be_reset
 from egretlift.transport.body import (
     PartialBody,
     append_data,
@@ -95,6 +96,7 @@
         "account",
         "body",
         "closed",
+        "ended_at",
         "eof",
         "fields",
         "framed",
@@ -109,6 +111,7 @@
         "is_named",
         "parser",
         "poll",
+        "request_bytes",
         "requests",
         "reusable",
         "stray_answers",
@@ -134,6 +137,8 @@
         self.is_named = None
         self.unnamed_answer = None
         self.requests = 0
+        self.request_bytes = 0
+        self.ended_at = 0.0
         self.head_only = False
         self.start_answer()
         self.parser = httptools.HttpResponseParser(self)
@@ -192,18 +197,32 @@
     def eof_received(self):
         """Complete an answer whose body is delimited by the end of the connection.
 
-        The body is whole only if the peer closed the connection. libuv calls this for a
-        reset too if that arrived together with the last bytes.
+        Returns whether the transport is to stay open for the rest of the request.
         """
         self.eof = True
-        is_unframed_body = self.in_answer and not self.in_head and not self.framed
-        if self.waiter is not None and is_unframed_body:
-            self.reusable = False
-            error = find_end_error(self.transport)
-            if error:
-                self.fail(f"connection lost in the body: {error}")
-            else:
-                self.complete()
+        if self.waiter is None or not self.in_answer or self.in_head or self.framed:
+            return False
+        self.reusable = False
+        self.ended_at = read_clock()
+        return self.settle_end()
+
+    def settle_end(self):
+        """Complete or fail a body that has ended; return whether that must wait.
+
+        The body is whole only if the peer closed the connection in order, and read the
+        whole request. libuv reports a reset as such an end too if it arrived together
+        with the last bytes.
+        """
+        if self.waiter is None or self.closed:
+            return False
+        error, ended_s = find_end_error(self.transport), read_clock() - self.ended_at
+        if error:
+            self.fail(f"connection lost in the body: {error}")
+        elif may_be_reset(self.transport, self.request_bytes, ended_s):
+            asyncio.get_running_loop().call_later(END_CHECK_S, self.settle_end)
+            return True
+        else:
+            self.complete()
         return False
 
     def connection_lost(self, error):
@@ -404,7 +423,9 @@
         waiter = self.waiter = loop.create_future()
         timer = loop.call_later(timeout_s, self.time_out)
         received = None
+        self.request_bytes = 0
         for part in data:
+            self.request_bytes += len(part)
             self.transport.write(part)
         try:
             received = await waiter
--- a/egretlift/transport/sockets.py
+++ b/egretlift/transport/sockets.py
@@ -43,6 +43,16 @@
     return info[0] if info else None
 
 
+def count_unsent(transport):
+    """Return how many written bytes the peer has not acknowledged.
+
+    Bytes that the transport still holds count too; those of the kernel are 0 if the
+    system does not tell.
+    """
+    sock = transport.get_extra_info("socket")
+    return transport.get_write_buffer_size() + read_count(sock, termios.TIOCOUTQ)
+
+
 def count_unread(transport):
     """Return how many received bytes the kernel has that nobody has read yet.
 
--- a/egretlift/transport/tests/test_unfinished_requests.py
+++ b/egretlift/transport/tests/test_unfinished_requests.py
@@ -29,9 +29,13 @@
     "length": STATUS + b"Content-Length: 601\r\n\r\n" + BODY,
     "chunks": STATUS + b"Transfer-Encoding: chunked\r\n\r\n258\r\n" + BODY + b"\r\n",
 }
+REQUEST_SIZES = (300_000, 2_000_000, 12_000_000)
+# What a peer reads of a request before it answers.
+READ_BYTES = 128 * 1024
 PART_BYTES = 64 * 1024
 # Byte of which uploads consist; no head has it.
 FILL = b"\x00"
+PAUSE_S = 0.1
 TIMEOUT_S = 10.0
 
 
@@ -167,6 +171,43 @@
     return serve
 
 
+def end_early(data):
+    """Return a peer that ends its side in the middle of a request, then resets."""
+
+    async def serve(sock, get_transport):
+        await read_request(sock, READ_BYTES)
+        sock.send(data)
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(PAUSE_S)
+        reset(sock)
+
+    return serve
+
+
+def read_on(data, size):
+    """Return a peer that ends its side in the middle of a request, and reads it all."""
+
+    async def serve(sock, get_transport):
+        await read_request(sock, READ_BYTES)
+        sock.send(data)
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(PAUSE_S)
+        await read_request(sock, size - READ_BYTES)
+
+    return serve
+
+
+def read_first(data, size):
+    """Return a peer that answers once it has read the whole request, and closes."""
+
+    async def serve(sock, get_transport):
+        await read_request(sock, size)
+        sock.send(data)
+        sock.close()
+
+    return serve
+
+
 class TestUnfinishedRequests(unittest.TestCase):
     """What is whole when an answer ends early."""
 
@@ -177,6 +218,27 @@
                 with self.subTest(name, reader=reader.__name__, loop=loop):
                     self.assertIsNone(run(reader(1, reset_before_a_write(data))))
 
+    def test_end_in_the_middle_of_a_request(self):
+        """Guards against a part of an answer of a peer that ends (MIXED)."""
+        for reader, loop, run in RUNS[:2]:
+            for name, data in CUT_ANSWERS.items():
+                for size in REQUEST_SIZES:
+                    with self.subTest(
+                        name, reader=reader.__name__, loop=loop, size=size
+                    ):
+                        self.assertIsNone(run(reader(size, end_early(data))))
+
+    def test_whole_answers(self):
+        """Guards against whole answers to uploads that are taken for broken."""
+        for reader, loop, run in RUNS[:2]:
+            for make_peer in (read_on, read_first):
+                for size in REQUEST_SIZES:
+                    with self.subTest(
+                        make_peer.__name__, reader=reader.__name__, loop=loop, size=size
+                    ):
+                        serve = make_peer(UNFRAMED + BODY, size)
+                        self.assertEqual(run(reader(size, serve)), BODY)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/standins/sidecars.py
+++ b/standins/sidecars.py
@@ -93,6 +93,8 @@
         Path whose requests end the upstream shortly after their arrival.
     deaf_path : str
         Path whose requests are not read, and answered late.
+    script : coroutine function or None
+        Writes its answers; see `standins.broken`.
     status_line : str
         Status and reason of its answers if they are written as raw bytes, else "".
     is_framed : bool
@@ -127,6 +129,7 @@
         self.is_leaving = False
         self.deadly_path = ""
         self.deaf_path = ""
+        self.script = None
         self.status_line = ""
         self.is_framed = True
         self.ends = 0
@@ -161,6 +164,9 @@
             self.end()
         if request.path == self.deaf_path:
             await asyncio.sleep(DEAF_S)
+        if self.script is not None:
+            headers["X-Server-Seal"] = self.upstream_id
+            return await self.script(request, headers)
         await self.read_body(request)
         if self.behaviour == "slow":
             await asyncio.sleep(self.slow_s)
