Move the connections of forwarded calls into a module of their own

Cause: with the end of answers in it, `transport/forward.py` held two jobs: forwarding a call, and reading the bytes of one connection.

Result: test_unfinished_requests and test_cut_answers pass as before.

--- a/egretlift/transport/forward.py
+++ b/egretlift/transport/forward.py
@@ -5,10 +5,8 @@
 
 import aiohttp
 import anyio
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 
-from egretlift.clock import read_clock
 from egretlift.documents import parse_integer
 from egretlift.outcome import (
     CAUSE_HEADER,
@@ -20,7 +18,7 @@
     Outcome,
     Refusal,
 )
-from egretlift.transport.answer_ends import END_CHECK_S, may_be_reset
+from egretlift.transport.answer_protocol import AnswerProtocol, RecordedRequest
 from egretlift.transport.http_messages import STATUSES
 from egretlift.transport.messages import (
     BUFFERED_BODY_BYTES_MAXIMUM,
@@ -30,7 +28,6 @@
     read_outcome,
     select_answer_headers,
 )
-from egretlift.transport.sockets import find_end_error
 
 # Raised before a connection exists, so the request cannot have been run.
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -38,120 +35,6 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, EOFError)
 
 
-class AnswerProtocol(ResponseHandler):
-    """Connection of a session that takes each byte for one answer only.
-
-    aiohttp takes any end of the connection for the end of a body without a length, and
-    what arrives on an idle connection for the answer to the next request.
-
-    Attributes
-    ----------
-    end_error : str
-        Why the end of the connection cuts off the answer, "" if it does not.
-    last_body : aiohttp.StreamReader or None
-        Body of the final answer.
-    ended_at : float
-        Time of the end of the connection.
-    is_framed : bool
-        Whether the answer stated its end, or has not come.
-    writer : aiohttp.abc.AbstractStreamWriter or None
-        Writer of the request's body; None if it has none.
-    is_sending : bool
-        Whether some of the request's body is still to be written.
-    """
-
-    __slots__ = (
-        "end_error",
-        "ended_at",
-        "is_framed",
-        "is_sending",
-        "last_body",
-        "writer",
-    )
-
-    def __init__(self, loop):
-        super().__init__(loop)
-        self.end_error = ""
-        self.ended_at = 0.0
-        self.start_request()
-
-    def start_request(self):
-        """Reset the state of the previous request."""
-        self.last_body = None
-        self.is_framed = True
-        self.is_sending = False
-        self.writer = None
-
-    def set_response_params(self, **options):
-        """Start a request: an answer is due from now on."""
-        self.start_request()
-        super().set_response_params(**options)
-
-    def feed_data(self, answer, size=0):
-        """Record the body of the answer, unless it is an informational one (1xx)."""
-        message, body = answer
-        if message.code >= 200:
-            self.last_body = body
-            self.is_framed = message.chunked or "Content-Length" in message.headers
-        super().feed_data(answer, size)
-
-    def data_received(self, data):
-        """Close the connection if the answer is already complete."""
-        if data and self.last_body is not None and self.last_body.is_eof():
-            self.transport.abort()
-            return
-        super().data_received(data)
-
-    def eof_received(self):
-        """Return whether the transport stays open for the rest of the request."""
-        super().eof_received()
-        self.ended_at = read_clock()
-        self.settle_end()
-        return not self.transport.is_closing()
-
-    def settle_end(self):
-        """Close the connection once it is known whether its end cuts off the answer."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        self.end_error = find_end_error(self.transport)
-        if self.is_framed or self.end_error:
-            self.cut_off(self.end_error or "closed")
-        elif self.may_be_reset():
-            self._loop.call_later(END_CHECK_S, self.settle_end)
-            return
-        self.transport.abort()
-
-    def may_be_reset(self):
-        """Return whether a reset may still cut off the answer, or a write may fail."""
-        written = self.writer.output_size if self.writer is not None else 0
-        ended_s = read_clock() - self.ended_at
-        return self.is_sending or may_be_reset(self.transport, written, ended_s)
-
-    def cut_off(self, reason):
-        """Fail the body of the answer unless it is complete."""
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"cut off: {reason}"))
-
-    def connection_lost(self, error):
-        """Fail an unfinished body unless the peer closed the connection."""
-        reason = error or self.end_error
-        if reason:
-            self.cut_off(reason)
-        super().connection_lost(error)
-
-
-class RecordedRequest(aiohttp.ClientRequest):
-    """Request that tells its connection what of its body is written."""
-
-    async def write_bytes(self, writer, conn, content_length=None):
-        """Write the body."""
-        protocol = conn.protocol
-        protocol.writer, protocol.is_sending = writer, True
-        await super().write_bytes(writer, conn, content_length)
-        protocol.is_sending = False
-
-
 def open_session(settings):
     """Return a client session for calls to one kind of target, upstream or daemons.
 
