Refuse answers whose head is not HTTP on the product's own path

What callers saw, behind `egretliftd`: an instance in trouble sent a head with a field that HTTP does not have, and the caller got it as an answer. `Content-Length : 2` was passed on as a field with a blank in its name, and the body taken to the end of the connection; a line that begins with a blank became a part of the field before it, the identifier of the request, say; control bytes in a value were passed on.

Cause: aiohttp reads answers leniently, other than requests. The client of upstreams and daemons reads them strictly (httptools) and refused all of these already.

Change: `AnswerProtocol` lets httptools read each head first, strictly, up to its end. What it refuses breaks the call (502, run unknown). aiohttp's own switch for strict reading stands in the environment of the whole process and is meant for its developers.

Evidence: `test_field_names`, 20 kinds of malformed lines, with and without a length and behind an informational answer, on asyncio and uvloop, and in two reads. Before, 36 rows fail, all of this reader: a blank or tab before a name, a control byte or DEL in a value, a blank behind Content-Length or Transfer-Encoding. After, none; sound heads with every byte that a name or a value may have still come whole.

--- a/egretlift/transport/answer_protocol.py
+++ b/egretlift/transport/answer_protocol.py
@@ -1,21 +1,60 @@
 """Connections and requests of the sessions that forward calls, over aiohttp."""
 
 import aiohttp
+import httptools
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import BadHttpMessage
 
 from egretlift.clock import read_clock
 from egretlift.transport.answer_ends import END_CHECK_S, may_be_reset
 from egretlift.transport.sockets import find_end_error
 
 
+class HeadCheck:
+    """Strict reading of the head of one answer; aiohttp reads answers leniently.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether the head has ended; that of an informational answer does not count.
+    parser : httptools.HttpResponseParser
+    """
+
+    __slots__ = ("is_complete", "parser")
+
+    def __init__(self):
+        self.is_complete = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self):
+        """Record the end of the head."""
+        if self.parser.get_status_code() >= 200:
+            self.is_complete = True
+
+
+def is_well_formed(check, data):
+    """Return whether the next bytes of an answer, as far as its head goes, are HTTP."""
+    if check.is_complete:
+        return True
+    try:
+        check.parser.feed_data(data)
+    except httptools.HttpParserUpgrade:
+        check.is_complete = True
+    except httptools.HttpParserError:
+        return check.is_complete
+    return True
+
+
 class AnswerProtocol(ResponseHandler):
     """Connection of a session that takes each byte for one answer only.
 
     aiohttp takes any end of the connection for the end of a body without a length, and
-    what arrives on an idle connection for the answer to the next request.
+    what arrives on an idle connection for the answer to the next request. It also takes
+    heads whose fields are not those of HTTP.
 
     Attributes
     ----------
+    head : HeadCheck
     end_error : str
         Why the end of the connection cuts off the answer, "" if it does not.
     last_body : aiohttp.StreamReader or None
@@ -33,6 +72,7 @@
     __slots__ = (
         "end_error",
         "ended_at",
+        "head",
         "is_framed",
         "is_sending",
         "last_body",
@@ -47,6 +87,7 @@
 
     def start_request(self):
         """Reset the state of the previous request."""
+        self.head = HeadCheck()
         self.last_body = None
         self.is_framed = True
         self.is_sending = False
@@ -66,11 +107,14 @@
         super().feed_data(answer, size)
 
     def data_received(self, data):
-        """Close the connection if the answer is already complete."""
+        """Close the connection if the answer is already complete, or has no head."""
         if data and self.last_body is not None and self.last_body.is_eof():
             self.transport.abort()
-            return
-        super().data_received(data)
+        elif is_well_formed(self.head, data):
+            super().data_received(data)
+        else:
+            self.set_exception(BadHttpMessage("malformed head"))
+            self.transport.abort()
 
     def eof_received(self):
         """Return whether the transport stays open for the rest of the request."""
