Bound the informational answers before an answer on the product's own path

What operators of like systems saw: an instance sent informational answers (1xx) without end, and the daemon that had called it kept them all until its memory was used up; the requests of its other clients ended with it.

Cause: aiohttp puts each informational answer into a queue that has no bound, and reads faster than the call takes them out. Only the call's deadline ended it.

Change: the check of the head counts its bytes, informational answers included, and refuses a head of over 64 KiB, as the client of upstreams does.

Evidence: `test_endless_others`, 9 kinds of endless heads and 6 of endless bodies that nobody reads, on asyncio and uvloop; a peer stops after 96 MB.

--- a/egretlift/transport/answer_protocol.py
+++ b/egretlift/transport/answer_protocol.py
@@ -7,23 +7,29 @@
 
 from egretlift.clock import read_clock
 from egretlift.transport.answer_ends import END_CHECK_S, may_be_reset
+from egretlift.transport.http_messages import HEAD_BYTES_MAXIMUM
 from egretlift.transport.sockets import find_end_error
 
 
 class HeadCheck:
     """Strict reading of the head of one answer; aiohttp reads answers leniently.
 
+    It includes informational answers (1xx), of which aiohttp takes any number.
+
     Attributes
     ----------
     is_complete : bool
         Whether the head has ended; that of an informational answer does not count.
     parser : httptools.HttpResponseParser
+    size : int
+        Bytes received before the head was complete.
     """
 
-    __slots__ = ("is_complete", "parser")
+    __slots__ = ("is_complete", "parser", "size")
 
     def __init__(self):
         self.is_complete = False
+        self.size = 0
         self.parser = httptools.HttpResponseParser(self)
 
     def on_headers_complete(self):
@@ -33,16 +39,20 @@
 
 
 def is_well_formed(check, data):
-    """Return whether the next bytes of an answer, as far as its head goes, are HTTP."""
+    """Return whether the next bytes of an answer, as far as its head goes, are HTTP.
+
+    A head of over ``HEAD_BYTES_MAXIMUM`` is none.
+    """
     if check.is_complete:
         return True
+    check.size += len(data)
     try:
         check.parser.feed_data(data)
     except httptools.HttpParserUpgrade:
         check.is_complete = True
     except httptools.HttpParserError:
         return check.is_complete
-    return True
+    return check.is_complete or check.size <= HEAD_BYTES_MAXIMUM
 
 
 class AnswerProtocol(ResponseHandler):
--- a/egretlift/transport/connection.py
+++ b/egretlift/transport/connection.py
@@ -19,7 +19,11 @@
     finish_body,
     measure_body,
 )
-from egretlift.transport.http_messages import NO_BODY_STATUSES, STATUSES
+from egretlift.transport.http_messages import (
+    HEAD_BYTES_MAXIMUM,
+    NO_BODY_STATUSES,
+    STATUSES,
+)
 from egretlift.transport.memory import (
     MemoryAccount,
     add_holder,
@@ -37,9 +41,6 @@
 IDLE_MARGIN_S = 1.0
 IDLE_DEFAULT_S = 4.0
 ANSWER_BYTES_MAXIMUM = 32 * 1024 * 1024
-# Bytes received since the last body byte: status line and headers, informational
-# (1xx) answers, trailers and chunk extensions.
-HEAD_BYTES_MAXIMUM = 64 * 1024
 HEADERS_MAXIMUM = 256
 # Answers to other requests that may arrive before the answer to this one.
 STRAY_ANSWERS_MAXIMUM = 8
--- a/egretlift/transport/http_messages.py
+++ b/egretlift/transport/http_messages.py
@@ -11,6 +11,9 @@
 NO_BODY_STATUSES = (204, 304)
 # Informational and final statuses. An answer with another one is none.
 STATUSES = range(100, 600)
+# Longest head of an answer: status line, headers and informational answers (1xx)
+# before it, and in all the trailers and chunk extensions between two body bytes.
+HEAD_BYTES_MAXIMUM = 64 * 1024
 
 
 class Request:
