Bound the answers of the store

What operators of like systems saw: bytes that were no answer, without end, were kept until the machine ran out of memory. Here a store, or what answers at its address, could do that to a daemon.

Cause: the store's client let httpx read each body whole, whatever its length, and had only a time limit: 1.5 s, and ten seconds more for a watch. httpx also asked for compressed bodies and unpacked them.

The store's limit is 8 MiB: a page of a list and the largest object have about 1 MB by the pages, and a watch returns several changes at once. A longer answer counts as none, so that the call is repeated as after a lost one.

Evidence: `test_answers_of_the_store`, 16 kinds of endless heads and bodies on asyncio and uvloop; a peer stops after 96 MB.

--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -29,6 +29,10 @@
     split_position,
 )
 from egretlift.platform import names  # noqa: E402
+from egretlift.transport.whole_answers import (  # noqa: E402
+    AnswerTooLarge,
+    request_whole,
+)
 
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.6
@@ -38,6 +42,9 @@
 # The same for a watch that allows stale answers, which costs little. It shows soon that
 # the store was restored, where the other watch was kept open meanwhile.
 STALE_WATCH_WAIT_S = 1.0
+# Longest answer of the store. A page of a list has about 1 MB, and so has the largest
+# object; a watch returns all changes since its position.
+ANSWER_BYTES_MAXIMUM = 8 * 1024 * 1024
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -179,26 +186,29 @@
         self.calls += 1
         try:
             with anyio.fail_after(CALL_TIMEOUT_S + wait_s):
-                response = await self.http.request(
+                answer = await request_whole(
+                    self.http,
                     method,
                     path,
+                    ANSWER_BYTES_MAXIMUM,
                     params=query,
                     json=body,
                     timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
                 )
-        except (httpx.HTTPError, TimeoutError) as error:
+        except (httpx.HTTPError, TimeoutError, AnswerTooLarge) as error:
             raise PlatformUnavailable(
                 f"store: {type(error).__name__} on {method} {path}", REMEDY
             ) from error
-        era = self.record_era(response)
-        status = response.status_code
-        if status in (200, 201, 404, 409, 410):
-            return status, decode_document(response), era
-        raise PlatformUnavailable(f"store: status {status} on {method} {path}", REMEDY)
+        era = self.record_era(answer)
+        if answer.status in (200, 201, 404, 409, 410):
+            return answer.status, decode_document(answer), era
+        raise PlatformUnavailable(
+            f"store: status {answer.status} on {method} {path}", REMEDY
+        )
 
-    def record_era(self, response):
+    def record_era(self, answer):
         """Record and report the era that an answer states, and return it."""
-        era = decode_era(response.headers.get(names.STORE_ERA))
+        era = decode_era(answer.headers.get(names.STORE_ERA))
         if era is None:
             return self.era or 0
         self.era = max(era, self.era or 0)
@@ -351,9 +361,9 @@
     return names[-1]
 
 
-def decode_document(response):
+def decode_document(answer):
     """Return the JSON document in an answer, None if it cannot be parsed."""
     try:
-        return parse_document(response.content, is_shared=True)
+        return parse_document(answer.body, is_shared=True)
     except ObjectInvalid:
         return None
--- a/egretlift/transport/tests/test_endless_others.py
+++ b/egretlift/transport/tests/test_endless_others.py
@@ -4,6 +4,9 @@
 import tracemalloc
 import unittest
 
+from egretlift.errors import EgretliftError
+from egretlift.platform import store
+from egretlift.platform.store import StoreClient
 from egretlift.settings import Settings
 from egretlift.transport.forward import open_session, send_request
 from egretlift.transport.messages import close_answer
@@ -48,6 +51,17 @@
     await session.close()
 
 
+async def read_store(port):
+    """Return a list of the store, None if there is none."""
+    client = StoreClient(("127.0.0.1", port))
+    try:
+        return await client.list_objects("k")
+    except EgretliftError:
+        return None
+    finally:
+        await client.close()
+
+
 async def read_endless(read, first, repeated):
     """Return what a reader takes for an answer, and the bytes that the peer sent."""
     servers, endpoints, sent = await open_peers((first, repeated))
@@ -83,6 +97,10 @@
         """Guards against a body that is read faster than its caller reads it."""
         self.check(forward_unread, BODIES, 0)
 
+    def test_answers_of_the_store(self):
+        """Guards against an answer of the store that fills the memory."""
+        self.check(read_store, (*ENDLESS, *BODIES), store.ANSWER_BYTES_MAXIMUM)
+
 
 if __name__ == "__main__":
     unittest.main()
