Bound the answers that the command line and the object API's client read

What operators of like systems saw: an answer without end was kept until the machine ran out of memory. Here the commands `hosts`, `limits`, `shares`, `in-force` and `timeline` did that with the state of a daemon, and all that read the object API with its lists. The first also waited for ever for a daemon that sends a body a byte at a time, or informational answers only, as they limited each pause but not the whole.

Cause: as with the store, httpx reads a body whole, whatever its length.

Change: both readers use `request_whole`. A state may have 16 MiB (6 MB at 16,000 hosts, docs/CAPACITY.md) and come within a minute, a list of the object API 32 MiB (12 MB for 16,000 objects; it comes in one piece). A daemon whose answer is longer is reported like one that did not answer; a read of the object API fails as after a lost answer, and a write is settled by reading back.

--- a/egretlift/cli/hosts.py
+++ b/egretlift/cli/hosts.py
@@ -8,10 +8,22 @@
 from egretlift.cli.session import call_platform, list_endpoints
 from egretlift.documents import parse_document
 from egretlift.errors import EgretliftError, ObjectInvalid
+from egretlift.transport.whole_answers import AnswerTooLarge, request_whole
 
+# Longest pause within an answer, and longest time for the whole of it.
 REQUEST_TIMEOUT_S = 3
+ANSWER_TIMEOUT_S = 60
+# Longest answer of a daemon. The state of one that knows 16,000 hosts has 6 MB.
+ANSWER_BYTES_MAXIMUM = 16 * 1024 * 1024
 # Daemons queried at the same time.
 PARALLEL_REQUESTS = 64
+FETCH_ERRORS = (
+    httpx.HTTPError,
+    AnswerTooLarge,
+    ObjectInvalid,
+    TimeoutError,
+    ValueError,
+)
 DEPARTED_STATUSES = ("dead", "left")
 CONFIGURATION_KINDS = ("profile", "organisation", "key")
 
@@ -30,6 +42,17 @@
     return f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
 
 
+async def fetch_document(http, url):
+    """Return the JSON object at a URL; for the errors see ``FETCH_ERRORS``."""
+    answer = await request_whole(http, "GET", url, ANSWER_BYTES_MAXIMUM)
+    if answer.status != 200:
+        raise ValueError(f"the answer has status {answer.status}")
+    body = parse_document(answer.body, is_shared=True)
+    if not isinstance(body, dict):
+        raise ValueError("the answer is not a JSON object")
+    return body
+
+
 async def fetch_all(http, endpoints, path="/state"):
     """Return, in the order of the endpoints, the JSON object or the exception of each.
 
@@ -47,13 +70,9 @@
         url = f"http://{format_endpoint((address, port))}{path}"
         async with limiter:
             try:
-                response = await http.get(url)
-                response.raise_for_status()
-                body = parse_document(response.content, is_shared=True)
-                if not isinstance(body, dict):
-                    raise ValueError("the answer is not a JSON object")
-                results[index] = body
-            except (httpx.HTTPError, ObjectInvalid, ValueError) as error:
+                with anyio.fail_after(ANSWER_TIMEOUT_S):
+                    results[index] = await fetch_document(http, url)
+            except FETCH_ERRORS as error:
                 results[index] = error
 
     async with anyio.create_task_group() as group:
--- a/egretlift/platform/client.py
+++ b/egretlift/platform/client.py
@@ -34,6 +34,10 @@
     PlatformUnavailable,
     WriteUnsettled,
 )
+from egretlift.transport.whole_answers import (  # noqa: E402
+    AnswerTooLarge,
+    request_whole,
+)
 
 WRITE_KEY = "_write"
 
@@ -45,6 +49,9 @@
 # Attempts at a write without an expected revision, when others write in between.
 UNCONDITIONAL_TRIES = 5
 
+# Longest answer of the platform. It lists all objects of a kind at once.
+ANSWER_BYTES_MAXIMUM = 32 * 1024 * 1024
+
 # Errors after which the platform cannot have received the request.
 NOT_SENT = (
     httpx.ConnectError,
@@ -120,17 +127,26 @@
     return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
 
-def decode_body(response):
+def decode_body(answer):
     """Return the JSON object in an answer; raise ``AnswerLost`` if there is none."""
     try:
-        body = parse_document(response.content, is_shared=True)
+        body = parse_document(answer.body, is_shared=True)
     except ObjectInvalid:
         body = None
     if not isinstance(body, dict):
-        raise AnswerLost(f"an answer of status {response.status_code} is not JSON")
+        raise AnswerLost(f"an answer of status {answer.status} is not JSON")
     return body
 
 
+def check_status(answer, method, path):
+    """Raise ``EgretliftError`` if the status of an answer is not 200."""
+    if answer.status != 200:
+        raise EgretliftError(
+            f"the platform answered {answer.status} to {method} {path}",
+            "check that the platform URL leads to the platform's object API",
+        )
+
+
 def is_object(item):
     """Return whether a value is an object of the platform; its spec may be anything."""
     return (
@@ -357,13 +373,13 @@
 
         The answer is None if the object to delete does not exist.
         """
-        response = await self.send(
+        answer = await self.send(
             method,
             make_object_path(kind, name),
             headers={"if-match": str(version)},
             json=body,
         )
-        status = response.status_code
+        status = answer.status
         if status >= 500:
             raise AnswerLost(f"status {status}")
         if status == 413:
@@ -374,8 +390,8 @@
         if status == 404 and method == "DELETE":
             return status, None
         if status != 409:
-            self.check_status(response)
-        return status, decode_body(response)
+            check_status(answer, method, make_object_path(kind, name))
+        return status, decode_body(answer)
 
     async def read_object(self, kind, name):
         """Return an object with its write identifier, None if it does not exist."""
@@ -387,27 +403,18 @@
         ``wait_s`` is added to the timeout for the time that a watch is kept open.
         """
         try:
-            response = await self.send("GET", path, wait_s, params=query)
-            if response.status_code >= 500:
-                raise AnswerLost(f"status {response.status_code}")
-            if response.status_code == 404 and path.startswith("/objects/"):
+            answer = await self.send("GET", path, wait_s, params=query)
+            if answer.status >= 500:
+                raise AnswerLost(f"status {answer.status}")
+            if answer.status == 404 and path.startswith("/objects/"):
                 return None
-            return decode_body(self.check_status(response))
+            check_status(answer, "GET", path)
+            return decode_body(answer)
         except AnswerLost as error:
             raise make_unavailable_error(error) from error
 
-    def check_status(self, response):
-        """Return the response; raise ``EgretliftError`` if its status is not 200."""
-        if response.status_code != 200:
-            raise EgretliftError(
-                f"the platform answered {response.status_code} to "
-                f"{response.request.method} {response.request.url.path}",
-                "check that the platform URL leads to the platform's object API",
-            )
-        return response
-
     async def send(self, method, path, wait_s=0, **details):
-        """Send one request and return the response.
+        """Send one request and return the whole answer.
 
         The timeout is ``platform_timeout_s`` plus ``wait_s``.
 
@@ -425,17 +432,22 @@
         timeout = httpx.Timeout(None, connect=connect_s, pool=connect_s)
         try:
             with anyio.fail_after(limit_s):
-                response = await self.http.request(
-                    method, path, timeout=timeout, **details
+                answer = await request_whole(
+                    self.http,
+                    method,
+                    path,
+                    ANSWER_BYTES_MAXIMUM,
+                    timeout=timeout,
+                    **details,
                 )
         except NOT_SENT as error:
             raise make_unavailable_error(
                 str(error) or "no connection in time"
             ) from error
-        except (httpx.TransportError, httpx.DecodingError) as error:
+        except (httpx.TransportError, AnswerTooLarge) as error:
             raise AnswerLost(type(error).__name__) from error
         except TimeoutError as error:
             raise AnswerLost(f"no answer within {limit_s:g} s") from error
-        if response.status_code in NOT_APPLIED:
-            raise make_unavailable_error(f"status {response.status_code}")
-        return response
+        if answer.status in NOT_APPLIED:
+            raise make_unavailable_error(f"status {answer.status}")
+        return answer
