Take broken replies of control calls for failed calls

What operators saw: nothing was handed to a caller. A daemon (`egretliftd`) that got a control reply which was cut off, empty, compressed or no protobuf wrote a `task-error`, and its gossip or allocation stood still for a second, as often as such a reply came. The sender was not probed or suspected, and its channel stayed in use.

Cause: grpclib raises AssertionError and NotImplementedError for these, protobuf DecodeError. `call_control` promises that every error is a `ControlFailed`, but knew only errors of the connection and of gRPC.

Change: these three count as errors of the call, so that the channel is closed and the callers do what they do for a daemon that does not answer.

Evidence: `transport/tests/test_control.py`, a peer written on h2.

--- a/egretlift/transport/control.py
+++ b/egretlift/transport/control.py
@@ -20,7 +20,18 @@
 TOKEN_METADATA = "egretlift-token"
 # Channels beyond this number are closed, least recently used first, to bound memory.
 CHANNELS_MAXIMUM = 64
-CALL_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
+# grpclib raises AssertionError for a reply that is cut off or missing, and
+# NotImplementedError for a compressed one.
+CALL_ERRORS = (
+    AssertionError,
+    DecodeError,
+    GRPCError,
+    NotImplementedError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+)
 
 
 class ControlFailed(EgretliftError):
--- /dev/null
+++ b/egretlift/transport/tests/test_control.py
@@ -0,0 +1,90 @@
+"""Control calls to a peer whose reply is broken or has no end."""
+
+import asyncio
+import struct
+import unittest
+
+import h2.config
+import h2.connection
+import h2.events
+
+from egretlift.transport.control import ControlFailed, call_control, close_channels
+from egretlift.transport.generated.control_pb2 import ProbeReply, ProbeRequest
+from egretlift.transport.tests.peers import open_peer
+
+TIMEOUT_S = 1.0
+HEADERS = ((":status", "200"), ("content-type", "application/grpc"))
+TRAILERS = (("grpc-status", "0"),)
+REPLY = ProbeReply(reachable=True).SerializeToString()
+
+
+def frame(data, length=None, compressed=0):
+    """Return a message as gRPC frames it, with another length if one is given."""
+    stated = len(data) if length is None else length
+    return struct.pack(">BI", compressed, stated) + data
+
+
+# Bytes of a reply, and whether the stream ends with trailers behind them.
+BROKEN = {
+    "no protobuf": (frame(b"\xff\xff\xff"), True),
+    "compressed": (frame(REPLY, compressed=1), True),
+    "cut in the message": (frame(REPLY, length=100), True),
+    "cut in the length": (frame(REPLY)[:3], True),
+    "no message": (b"", True),
+    "no trailers": (frame(REPLY), False),
+}
+
+
+def make_peer(data, ends):
+    """Return a peer that answers each request with bytes."""
+
+    async def serve(reader, writer):
+        config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+        connection = h2.connection.H2Connection(config)
+        connection.initiate_connection()
+        writer.write(connection.data_to_send())
+        while received := await reader.read(65536):
+            for event in connection.receive_data(received):
+                if isinstance(event, h2.events.RequestReceived):
+                    connection.send_headers(event.stream_id, HEADERS)
+                if isinstance(event, h2.events.StreamEnded):
+                    connection.send_data(event.stream_id, data)
+                    if ends:
+                        connection.send_headers(event.stream_id, TRAILERS, True)
+            writer.write(connection.data_to_send())
+            await writer.drain()
+
+    return serve
+
+
+async def call(serve):
+    """Return the reply of a peer, None if the call failed."""
+    channels = {}
+    async with open_peer(serve) as endpoint:
+        try:
+            return await call_control(
+                channels, "s", endpoint, "Probe", ProbeRequest(), TIMEOUT_S
+            )
+        except ControlFailed:
+            return None
+        finally:
+            close_channels(channels)
+
+
+class TestControl(unittest.TestCase):
+    """Which replies are taken, and what the others do."""
+
+    def test_whole_reply(self):
+        """Guards against a peer of this test whose replies always fail."""
+        found = asyncio.run(call(make_peer(frame(REPLY), True)))
+        self.assertEqual(found, ProbeReply(reachable=True))
+
+    def test_broken_replies(self):
+        """Guards against a reply whose error ends the task that asked for it."""
+        for name, (data, ends) in BROKEN.items():
+            with self.subTest(name):
+                self.assertIsNone(asyncio.run(call(make_peer(data, ends))))
+
+
+if __name__ == "__main__":
+    unittest.main()
