Bound the replies of control calls

What operators of like systems saw: bytes without end were kept until the machine ran out of memory. Here a reply that states a length of up to 4 GiB was kept as it came, until the call's time limit.

Cause: grpclib reads a message of any stated length, and tells the peer to go on (flow control) while it does.

Change: a stated length over 16 MiB fails the call before its bytes are read. `limit_messages` reaches into grpclib's stream, which has no setting for this.

Evidence: `test_reply_without_end`, a peer that stops after 64 MB.

--- a/egretlift/transport/control.py
+++ b/egretlift/transport/control.py
@@ -20,6 +20,8 @@
 TOKEN_METADATA = "egretlift-token"
 # Channels beyond this number are closed, least recently used first, to bound memory.
 CHANNELS_MAXIMUM = 64
+# Longest reply. A daemon sends at most all objects of the configuration at once.
+REPLY_BYTES_MAXIMUM = 16 * 1024 * 1024
 # grpclib raises AssertionError for a reply that is cut off or missing, and
 # NotImplementedError for a compressed one.
 CALL_ERRORS = (
@@ -107,6 +109,37 @@
     await server.wait_closed()
 
 
+async def ask(method, secret, request):
+    """Send a request with a method of the stub and return the reply."""
+    metadata = {TOKEN_METADATA: make_token(secret)}
+    async with method.open(metadata=metadata) as stream:
+        await stream.send_message(request, end=True)
+        limit_messages(stream._stream)
+        reply = await stream.recv_message()
+        if reply is None:
+            raise ProtocolError("no reply")
+        return reply
+
+
+def limit_messages(stream):
+    """Make a stream refuse messages that state over ``REPLY_BYTES_MAXIMUM``.
+
+    grpclib keeps what it has received of a message of any length, until all of it came.
+
+    Parameters
+    ----------
+    stream : grpclib.protocol.Stream
+    """
+    receive = stream.recv_data
+
+    async def receive_limited(size):
+        if size > REPLY_BYTES_MAXIMUM:
+            raise ProtocolError(f"a message of {size} bytes")
+        return await receive(size)
+
+    stream.recv_data = receive_limited
+
+
 async def call_control(channels, secret, endpoint, name, request, timeout_s):
     """Send a control message and return the reply.
 
@@ -134,8 +167,7 @@
         channels.pop(next(iter(channels))).close()
     try:
         with anyio.fail_after(timeout_s):
-            method = getattr(ControlStub(channel), name)
-            return await method(request, metadata={TOKEN_METADATA: make_token(secret)})
+            return await ask(getattr(ControlStub(channel), name), secret, request)
     except CALL_ERRORS as error:
         # A connection that loses messages in one direction stays open, and would
         # otherwise be used for every later call.
