Close a connection without an open answer at once when its peer does

What callers saw: nothing yet; found when reading the change. After an upload that was answered without a body (204, no length), a connection whose peer then closed it stayed open for up to 0.25 s on the product's own path, and a call that was sent on it meanwhile got 502.

Change: only an answer that is not complete waits.

--- a/egretlift/transport/answer_protocol.py
+++ b/egretlift/transport/answer_protocol.py
@@ -72,7 +72,8 @@
     ended_at : float
         Time of the end of the connection.
     is_framed : bool
-        Whether the answer stated its end, or has not come.
+        Whether the answer stated its end, or has not come. ``last_body`` is known if
+        this is False.
     writer : aiohttp.abc.AbstractStreamWriter or None
         Writer of the request's body; None if it has none.
     is_sending : bool
@@ -138,7 +139,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.end_error = find_end_error(self.transport)
-        if self.is_framed or self.end_error:
+        if self.is_framed or self.last_body.is_eof() or self.end_error:
             self.cut_off(self.end_error or "closed")
         elif self.may_be_reset():
             self._loop.call_later(END_CHECK_S, self.settle_end)
--- a/egretlift/transport/tests/test_unfinished_requests.py
+++ b/egretlift/transport/tests/test_unfinished_requests.py
@@ -12,7 +12,7 @@
 from egretlift.transport.connection import Connection, ExchangeBroken
 from egretlift.transport.forward import open_session, send_request
 from egretlift.transport.messages import RequestBody
-from egretlift.transport.tests.peers import LOOPS
+from egretlift.transport.tests.peers import LOOPS, open_peer
 from egretlift.transport.tests.test_connection_end import accept_any
 from standins.serving import RESET_ON_CLOSE
 
@@ -208,6 +208,28 @@
     return serve
 
 
+async def call_twice():
+    """Return the statuses of two uploads in turn; each connection carries one."""
+    size = REQUEST_SIZES[0]
+    headers = [("Content-Length", str(size))]
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(size)
+        writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    session, found = open_session(Settings()), []
+    async with open_peer(serve) as (_, port):
+        for _ in range(2):
+            url = f"http://127.0.0.1:{port}/a"
+            answer, _ = await send_request(session, url, Call(size), headers, TIMEOUT_S)
+            found.append(answer.status)
+            # The client's event loop learns of the end, but no more time passes.
+            await asyncio.sleep(0.02)
+        await session.close()
+    return found
+
+
 class TestUnfinishedRequests(unittest.TestCase):
     """What is whole when an answer ends early."""
 
@@ -228,6 +250,12 @@
                     ):
                         self.assertIsNone(run(reader(size, end_early(data))))
 
+    def test_end_of_an_idle_connection(self):
+        """Guards against a call on a connection whose peer has just closed it."""
+        for loop, run in LOOPS:
+            with self.subTest(loop):
+                self.assertEqual(run(call_twice()), [204, 204])
+
     def test_whole_answers(self):
         """Guards against whole answers to uploads that are taken for broken."""
         for reader, loop, run in RUNS:
