Reset the connection of a caller whose answer breaks off

What callers saw, behind `egretliftd`: a caller of HTTP/1.0 gets a body without a length as it comes. Callers of HTTP/1.1 get chunks, and miss the last one.

Cause: aborting a transport closes its socket, which ends the stream in order if nothing is left unread. The end is all that such a caller has to tell by.

Change: the connection is closed with a reset.

Evidence: `daemon/tests/test_answers.py`: before, both rows of HTTP/1.0 fail, on asyncio and uvloop; after, all four rows pass. integration.test_input passes.

--- a/egretlift/daemon/answers.py
+++ b/egretlift/daemon/answers.py
@@ -30,6 +30,7 @@
     make_outcome_headers,
     make_refusal_answer,
 )
+from egretlift.transport.sockets import reset_connection
 
 # Failed calls beyond this number in a second are counted but not logged.
 EVENTS_PER_SECOND = 20
@@ -117,7 +118,7 @@
 async def send_answer(request, answer, extra=(), closing=False):
     """Send an answer to the client.
 
-    If the body breaks off, the connection is aborted without the final chunk.
+    If the body breaks off, the connection is reset, without the final chunk.
 
     Parameters
     ----------
@@ -156,10 +157,11 @@
         whole = True
         await response.write_eof()
     except Exception as error:
-        # Without the final chunk the client sees that the answer is truncated.
+        # Without the final chunk the client sees that the answer is truncated, and by
+        # the reset if it gets a body without chunks.
         record_event("answer-cut-short", path=request.path, error=repr(error))
         if request.transport is not None:
-            request.transport.abort()
+            reset_connection(request.transport)
         raise ConnectionResetError("answer cut short") from error
     finally:
         close_answer(answer, whole)
--- a/egretlift/transport/sockets.py
+++ b/egretlift/transport/sockets.py
@@ -15,6 +15,8 @@
 KEEPALIVE_PROBES = 2
 # State of a connection whose peer has closed its side, from ``tcp_states.h`` of Linux.
 TCP_CLOSE_WAIT = 8
+# Value of SO_LINGER with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def find_end_error(transport):
@@ -70,6 +72,17 @@
     return count
 
 
+def reset_connection(transport):
+    """Close a connection with a reset, so that the peer takes nothing for whole.
+
+    What was written and not sent yet is lost.
+    """
+    if not transport.is_closing():
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 def make_poll(sock):
     """Return a poll object that tells whether a socket can be read."""
     poll = select.poll()
