Remove a script of the stand-ins that no test uses

Cause: `standins.broken.write_head` was written for malformed heads, which `transport/tests/test_field_names.py` sends by itself.

--- a/standins/broken.py
+++ b/standins/broken.py
@@ -1,4 +1,4 @@
-"""Scripts of upstreams in trouble, whose answers are cut off, malformed or endless.
+"""Scripts of upstreams in trouble, whose answers are cut off or endless.
 
 A script takes the request and the headers that a sound answer would have, and writes
 what it likes to the connection; see `standins.sidecars.Upstream`. The response that it
@@ -54,17 +54,6 @@
     return answer
 
 
-def write_head(lines, body):
-    """Return a script that adds raw lines to the head of an answer, and closes."""
-
-    async def answer(request, headers):
-        request.transport.write(encode_lines(headers) + lines + b"\r\n" + body)
-        request.transport.close()
-        return web.Response()
-
-    return answer
-
-
 def write_without_end(first, repeated, has_head=True):
     """Return a script that repeats bytes until its connection is closed.
 
