Send uploads in the soak, and answer some of them early

Half of the bookings now are uploads of 300 KB, and the upstream's new defect "unframed-early" answers a request of which it has read no body with a part of an answer without a length, and resets.

--- a/integration/soak_callers.py
+++ b/integration/soak_callers.py
@@ -9,6 +9,10 @@
 
 ANSWER_TIMEOUT_S = 4.0
 DEADLINE_MS = 2000
+# Share of bookings, half of which are uploads.
+BOOKINGS = 0.3
+UPLOAD_PATH = "/book/upload"
+UPLOAD_BYTES = 300_000
 # Statuses with which a daemon promises that a request has not run and will not.
 REFUSED = (408, 421, 429, 503)
 # Statuses that no proper request may get.
@@ -46,16 +50,16 @@
 
 def encode_request(request_id, path):
     """Return the bytes of a caller's request."""
-    method = "POST" if path.startswith("/book/") else "GET"
+    is_booking = path.startswith("/book/")
+    body = "a" * (UPLOAD_BYTES if path == UPLOAD_PATH else 4 * is_booking)
     lines = [
-        f"{method} {path} HTTP/1.1",
+        f"{'POST' if is_booking else 'GET'} {path} HTTP/1.1",
         "Host: m.example",
         f"X-Request-Id: {request_id}",
         f"X-Deadline-Ms: {DEADLINE_MS}",
         f"Authorization: Token {KEY}",
-        *(["Content-Length: 4"] if method == "POST" else []),
+        *([f"Content-Length: {len(body)}"] if is_booking else []),
     ]
-    body = "abcd" if method == "POST" else ""
     return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
 
 
@@ -86,10 +90,12 @@
     while time.monotonic() < end:
         requests = []
         for _ in range(random.choice((1, 1, 1, 3))):
-            path = "/view/1" if requests or random.random() < 0.7 else "/book/1"
+            path = "/view/1"
+            if not requests and random.random() < BOOKINGS:
+                path = random.choice(("/book/1", UPLOAD_PATH))
             requests.append((f"{name}-{number}", path))
             number += 1
-            if path == "/book/1":
+            if path != "/view/1":
                 break
         try:
             streams = streams or await asyncio.open_connection("127.0.0.1", port)
--- a/standins/faulty.py
+++ b/standins/faulty.py
@@ -13,6 +13,7 @@
 DEFECTS = (
     "unframed",
     "unframed-reset",
+    "unframed-early",
     "cut",
     "extra",
     "extra-late",
@@ -34,13 +35,12 @@
     return "\r\n".join(head).encode() + HEAD_END + body
 
 
-async def read_request(reader):
-    """Return (path, headers by lower-case name) of the next request, body dropped."""
+async def read_head(reader):
+    """Return (path, headers by lower-case name, bytes of the body) of a request."""
     head = (await reader.readuntil(HEAD_END)).decode("latin-1").split("\r\n")
     pairs = (line.partition(":") for line in head[1:] if line)
     fields = {name.lower(): value.strip() for name, _, value in pairs}
-    await reader.readexactly(int(fields.get("content-length", 0)))
-    return head[0].split(" ")[1], fields
+    return head[0].split(" ")[1], fields, int(fields.get("content-length", 0))
 
 
 class FaultyUpstream:
@@ -88,9 +88,11 @@
         late = b""
         try:
             while True:
-                path, fields = await read_request(reader)
-                writer.write(late)
+                path, fields, size = await read_head(reader)
                 defect = self.choose_defect()
+                if defect != "unframed-early":
+                    await reader.readexactly(size)
+                writer.write(late)
                 answer = await self.execute(path, fields, defect)
                 late = answer if defect == "extra-late" else b""
                 if not self.write_answer(writer, answer, defect):
@@ -117,7 +119,7 @@
 
     def write_answer(self, writer, answer, defect):
         """Write an answer with its defect; return whether the connection goes on."""
-        if defect in ("unframed-reset", "cut", "lost"):
+        if defect in ("unframed-reset", "unframed-early", "cut", "lost"):
             size = len(answer) - len(answer) // 4
             writer.write(b"" if defect == "lost" else answer[:size])
             if defect != "cut":
