--- a/egretlift/transport/tests/test_field_names.py
+++ b/egretlift/transport/tests/test_field_names.py
@@ -83,6 +83,16 @@
             yield framing, head + b"\r\n" + BODY
 
 
+def list_malformed():
+    """Return the bytes of all answers whose head is malformed."""
+    answers = [
+        STATUS + line + b"\r\n" + body for line, body in MALFORMED_LENGTHS.values()
+    ]
+    for lines in MALFORMED.values():
+        answers.extend(data for _, data in list_answers(lines))
+    return answers
+
+
 class TestFieldNames(unittest.TestCase):
     """What is an answer by the fields of its head."""
 
@@ -117,12 +127,7 @@
         h11 takes a line that begins with a blank for a part of the one before, and
         control bytes in a value.
         """
-        answers = [
-            STATUS + line + b"\r\n" + body for line, body in MALFORMED_LENGTHS.values()
-        ]
-        for lines in MALFORMED.values():
-            answers.extend(data for _, data in list_answers(lines))
-        for data in answers:
+        for data in list_malformed():
             with self.subTest(data=data):
                 found = asyncio.run(serve_prefix(data, read_store))
                 self.assertIn(found, (None, {}))
