Take a damaged object of the store for a failed call

What a daemon saw: an answer of 200 without a length that ended within the object was read as "there is no such object". A daemon that starts again reads its own entry so, and would not learn from it that its upstream has left; after a write it forgot the revision of its entry.

Cause: `StoreClient.send` returned None in place of a document that cannot be parsed, and `get_object` and `put_object` took that for no object. Lists and watches refused such an answer already.

Now `send` raises PlatformUnavailable for an answer of 200 or 201 whose document is damaged, for every call but a deletion, whose status alone tells the result. Callers repeat the call as after any failed one. A JSON document that is no object is still "malformed": an entry that another writer has spoilt must not stop a daemon from starting.

Whether a daemon did run requests on an upstream that had left was not shown: the list that it reads next has its entry too.

--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -45,6 +45,10 @@
 # Longest answer of the store. A page of a list has about 1 MB, and so has the largest
 # object; a watch returns all changes since its position.
 ANSWER_BYTES_MAXIMUM = 8 * 1024 * 1024
+# Statuses of calls that succeeded. All but deletions are answered with a document.
+DOCUMENT_STATUSES = (200, 201)
+# Statuses that tell by themselves why a call has no result.
+ERROR_STATUSES = (404, 409, 410)
 SOCKET_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -173,15 +177,15 @@
     async def send(self, method, path, body=None, query=None, wait_s=0.0):
         """Send one call and return (status, document, era).
 
-        The document is None if it is damaged. An answer that does not state the era
-        is taken to be of the latest one.
+        The document is None if it is damaged and the status alone tells the result. An
+        answer that does not state the era is taken to be of the latest one.
         ``wait_s`` is added to the timeout for the time that a watch is kept open.
 
         Raises
         ------
         PlatformUnavailable
-            There was no answer, or one of an unexpected status. A change may have
-            been applied nevertheless.
+            There was no answer, or one of an unexpected status or with a damaged
+            document. A change may have been applied nevertheless.
         """
         self.calls += 1
         try:
@@ -200,11 +204,18 @@
                 f"store: {type(error).__name__} on {method} {path}", REMEDY
             ) from error
         era = self.record_era(answer)
-        if answer.status in (200, 201, 404, 409, 410):
-            return answer.status, decode_document(answer), era
-        raise PlatformUnavailable(
-            f"store: status {answer.status} on {method} {path}", REMEDY
-        )
+        if answer.status not in (*DOCUMENT_STATUSES, *ERROR_STATUSES):
+            raise PlatformUnavailable(
+                f"store: status {answer.status} on {method} {path}", REMEDY
+            )
+        try:
+            return answer.status, parse_document(answer.body, is_shared=True), era
+        except ObjectInvalid as error:
+            if answer.status in DOCUMENT_STATUSES and method != "DELETE":
+                raise PlatformUnavailable(
+                    f"store: damaged document on {method} {path}", REMEDY
+                ) from error
+        return answer.status, None, era
 
     def record_era(self, answer):
         """Record and report the era that an answer states, and return it."""
@@ -359,11 +370,3 @@
     if not names:
         raise PlatformUnavailable(f"store: a page of {kind} has no names", REMEDY)
     return names[-1]
-
-
-def decode_document(answer):
-    """Return the JSON document in an answer, None if it cannot be parsed."""
-    try:
-        return parse_document(answer.body, is_shared=True)
-    except ObjectInvalid:
-        return None
