Bound what the sockets of httpx readers hold

On 5 rows of transport/tests/test_endless_others failed in each of three runs, and 5 of cli/tests/test_endless in its one run, all on uvloop.

Cause: uvloop reads a socket up to 32 times, 250 KiB each, before anything else runs. anyio keeps all these parts for httpx and pauses only then. How much there is to read is up to the kernel: `tcp_rmem` allows 33 MB here.

Fix: these sockets get a receive buffer of 128 KiB (256 KiB with the kernel's doubling). libuv stops at a part that does not fill its buffer of 250 KiB, so there is one. Bounds of tests are unchanged.

--- a/egretlift/cli/hosts.py
+++ b/egretlift/cli/hosts.py
@@ -8,7 +8,11 @@
 from egretlift.cli.session import call_platform, list_endpoints
 from egretlift.documents import parse_document
 from egretlift.errors import EgretliftError, ObjectInvalid
-from egretlift.transport.whole_answers import AnswerTooLarge, request_whole
+from egretlift.transport.whole_answers import (
+    SOCKET_OPTIONS,
+    AnswerTooLarge,
+    request_whole,
+)
 
 # Longest pause within an answer, and longest time for the whole of it.
 REQUEST_TIMEOUT_S = 3
@@ -32,8 +36,14 @@
 
 def make_http_client():
     """Return an HTTP client for the operators' ports that ignores proxy variables."""
-    limits = httpx.Limits(max_connections=PARALLEL_REQUESTS)
-    return httpx.AsyncClient(timeout=REQUEST_TIMEOUT_S, limits=limits, trust_env=False)
+    transport = httpx.AsyncHTTPTransport(
+        trust_env=False,
+        limits=httpx.Limits(max_connections=PARALLEL_REQUESTS),
+        socket_options=SOCKET_OPTIONS,
+    )
+    return httpx.AsyncClient(
+        timeout=REQUEST_TIMEOUT_S, trust_env=False, transport=transport
+    )
 
 
 def format_endpoint(endpoint):
--- a/egretlift/platform/client.py
+++ b/egretlift/platform/client.py
@@ -35,6 +35,7 @@
     WriteUnsettled,
 )
 from egretlift.transport.whole_answers import (  # noqa: E402
+    SOCKET_OPTIONS,
     AnswerTooLarge,
     request_whole,
 )
@@ -200,11 +201,14 @@
         self.settings = settings
         # Loading the certificate authorities takes memory that only https needs.
         secure = settings.platform_url.startswith("https://")
+        transport = httpx.AsyncHTTPTransport(
+            verify=secure, trust_env=False, socket_options=SOCKET_OPTIONS
+        )
         self.http = httpx.AsyncClient(
             base_url=settings.platform_url,
             timeout=None,
             trust_env=False,
-            verify=secure,
+            transport=transport,
         )
 
     async def __aenter__(self):
--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -29,6 +29,7 @@
     split_position,
 )
 from egretlift.platform import names  # noqa: E402
+from egretlift.transport import whole_answers  # noqa: E402
 from egretlift.transport.whole_answers import (  # noqa: E402
     AnswerTooLarge,
     request_whole,
@@ -50,6 +51,7 @@
 # Statuses that tell by themselves why a call has no result.
 ERROR_STATUSES = (404, 409, 410)
 SOCKET_OPTIONS = (
+    *whole_answers.SOCKET_OPTIONS,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
--- a/egretlift/transport/whole_answers.py
+++ b/egretlift/transport/whole_answers.py
@@ -4,8 +4,15 @@
 decompresses it.
 """
 
+import socket
+
 from egretlift.transport.body import PartialBody, append_data, finish_body, join_body
 
+# Options of the sockets of such clients. Before the reader of an answer runs, uvloop
+# reads what a socket holds in up to 32 parts of 250 KiB; it stops at one that is not
+# full. By default Linux lets a socket hold megabytes.
+SOCKET_OPTIONS = ((socket.SOL_SOCKET, socket.SO_RCVBUF, 128 * 1024),)
+
 
 class AnswerTooLarge(Exception):
     """The body of an answer is longer than its reader allows."""
