Move the reading of a store's answer out of the call

`StoreClient.send` sent, recorded the era, judged the status and parsed. The last two are `decode_answer` now.

--- a/egretlift/platform/store.py
+++ b/egretlift/platform/store.py
@@ -206,18 +206,7 @@
                 f"store: {type(error).__name__} on {method} {path}", REMEDY
             ) from error
         era = self.record_era(answer)
-        if answer.status not in (*DOCUMENT_STATUSES, *ERROR_STATUSES):
-            raise PlatformUnavailable(
-                f"store: status {answer.status} on {method} {path}", REMEDY
-            )
-        try:
-            return answer.status, parse_document(answer.body, is_shared=True), era
-        except ObjectInvalid as error:
-            if answer.status in DOCUMENT_STATUSES and method != "DELETE":
-                raise PlatformUnavailable(
-                    f"store: damaged document on {method} {path}", REMEDY
-                ) from error
-        return answer.status, None, era
+        return answer.status, decode_answer(answer, method, path), era
 
     def record_era(self, answer):
         """Record and report the era that an answer states, and return it."""
@@ -372,3 +361,24 @@
     if not names:
         raise PlatformUnavailable(f"store: a page of {kind} has no names", REMEDY)
     return names[-1]
+
+
+def decode_answer(answer, method, path):
+    """Return the JSON document in an answer, None if damaged where the status suffices.
+
+    Raises
+    ------
+    PlatformUnavailable
+        The status is an unexpected one, or the document of a success is damaged.
+    """
+    status = answer.status
+    if status not in (*DOCUMENT_STATUSES, *ERROR_STATUSES):
+        raise PlatformUnavailable(f"store: status {status} on {method} {path}", REMEDY)
+    try:
+        return parse_document(answer.body, is_shared=True)
+    except ObjectInvalid as error:
+        if status in DOCUMENT_STATUSES and method != "DELETE":
+            raise PlatformUnavailable(
+                f"store: damaged document on {method} {path}", REMEDY
+            ) from error
+    return None
